--- /dev/null
+++ b/label.go
@@ -0,0 +1,63 @@
+package keel
+
+import "maps"
+
+// Labels are key and value pairs on an endpoint, an instance or a failure
+// domain.
+type Labels map[string]string
+
+// Labels that the system itself reads. Their value "true" turns them on.
+const (
+	// LabelDrain on an endpoint, a failure domain or an instance stops new
+	// work to it.
+	LabelDrain = "keel.drain"
+	// LabelPoisonLift on an endpoint's service lifts the refusal of the poison
+	// request whose fingerprint is the label's value.
+	LabelPoisonLift = "keel.poison_lift"
+)
+
+// LabelOn is the value that turns a label of the system on.
+const LabelOn = "true"
+
+// maxLabels bounds the labels of one thing.
+const maxLabels = 64
+
+// Check reports too many labels and malformed keys or values.
+func (l Labels) Check() Faults {
+	var fs Faults
+	if len(l) > maxLabels {
+		fs.Add("", "has %d labels, the limit is %d", len(l), maxLabels)
+	}
+	for k, v := range l {
+		fs = append(fs, CheckName("["+k+"]", k)...)
+		if len(v) > MaxNameLength {
+			fs.Add("["+k+"]", "value has %d bytes, the limit is %d", len(v), MaxNameLength)
+		}
+	}
+	return fs
+}
+
+// On reports whether the label key has the value [LabelOn].
+func (l Labels) On(key string) bool { return l[key] == LabelOn }
+
+// Matches reports whether l has every pair of want. Empty wants match all.
+func (l Labels) Matches(want Labels) bool {
+	for k, v := range want {
+		got, ok := l[k]
+		if !ok || got != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Over returns the labels of base with those of l put over them.
+func (l Labels) Over(base Labels) Labels {
+	if len(l) == 0 {
+		return base
+	}
+	out := make(Labels, len(base)+len(l))
+	maps.Copy(out, base)
+	maps.Copy(out, l)
+	return out
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,108 @@
+package keel
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Reason is the machine-readable cause of a [Refusal].
+type Reason string
+
+// Reasons of a refusal, with the HTTP status that each is answered with.
+const (
+	ReasonBadRequest      Reason = "bad_request"       // 400
+	ReasonUnknownService  Reason = "unknown_service"   // 404
+	ReasonNoSelector      Reason = "no_selector"       // 404
+	ReasonKeyConflict     Reason = "key_conflict"      // 409
+	ReasonDuplicate       Reason = "duplicate"         // 409
+	ReasonKeyMissing      Reason = "key_missing"       // 400
+	ReasonTooLarge        Reason = "too_large"         // 413
+	ReasonQueueTimeout    Reason = "queue_timeout"     // 503
+	ReasonOverload        Reason = "overload"          // 503
+	ReasonShiftCap        Reason = "shift_cap"         // 503
+	ReasonNoEndpoint      Reason = "no_endpoint"       // 503
+	ReasonNoCredit        Reason = "no_credit"         // 503
+	ReasonLinkBudget      Reason = "link_budget"       // 503
+	ReasonClaimHome       Reason = "claim_home"        // 503
+	ReasonClaimBarrier    Reason = "claim_barrier"     // 503
+	ReasonLeaving         Reason = "leaving"           // 503
+	ReasonPoison          Reason = "poison_request"    // 422
+	ReasonEndpointFailed  Reason = "endpoint_failed"   // 502
+	ReasonPeerFailed      Reason = "peer_failed"       // 502
+	ReasonDeadline        Reason = "deadline_exceeded" // 504
+	ReasonCallerGone      Reason = "caller_gone"       // 499
+	ReasonDisabledByLabel Reason = "disabled_by_label" // 503
+)
+
+var reasonStatus = map[Reason]int{
+	ReasonBadRequest: 400, ReasonKeyMissing: 400,
+	ReasonUnknownService: 404, ReasonNoSelector: 404,
+	ReasonKeyConflict: 409, ReasonDuplicate: 409,
+	ReasonTooLarge: 413, ReasonPoison: 422, ReasonCallerGone: 499,
+	ReasonEndpointFailed: 502, ReasonPeerFailed: 502,
+	ReasonDeadline: 504,
+}
+
+const defaultRefusalStatus = 503
+
+// Status returns the HTTP status that a refusal for this reason is answered
+// with.
+func (r Reason) Status() int {
+	if s, ok := reasonStatus[r]; ok {
+		return s
+	}
+	return defaultRefusalStatus
+}
+
+// Refusal is the error of a request that gets no answer from an endpoint. It is
+// also the body of the HTTP answer.
+type Refusal struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict `json:"verdict" cbor:"1,keyasint"`
+	// Reason is the machine-readable cause.
+	Reason Reason `json:"reason" cbor:"2,keyasint"`
+	// Detail explains the cause to a person.
+	Detail string `json:"detail,omitempty" cbor:"3,keyasint,omitempty"`
+	// RetryAfter is how long to wait before a retry can help. Zero means that
+	// no retry is advised.
+	RetryAfter Duration `json:"retry_after,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Refuse returns a refusal; format and args give its detail.
+func Refuse(v Verdict, reason Reason, retryAfter time.Duration, format string, args ...any) *Refusal {
+	return &Refusal{
+		Verdict:    v,
+		Reason:     reason,
+		Detail:     fmt.Sprintf(format, args...),
+		RetryAfter: Duration(retryAfter),
+	}
+}
+
+// Error returns the verdict, the reason and the detail.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s: %s", r.Verdict, r.Reason, r.Detail)
+}
+
+// Check reports a missing reason or a negative wait.
+func (r *Refusal) Check() Faults {
+	var fs Faults
+	if r.Reason == "" {
+		fs.Add("reason", "must not be empty")
+	}
+	if r.RetryAfter < 0 {
+		fs.Add("retry_after", "is %s, must not be negative", r.RetryAfter)
+	}
+	return fs
+}
+
+// VerdictOf returns the verdict that err carries. An error without a verdict
+// counts as [MayHaveRun].
+func VerdictOf(err error) Verdict {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/verdict.go
@@ -0,0 +1,51 @@
+package keel
+
+import "github.com/go-faster/errors"
+
+// Verdict says whether a request that was not answered may have run at an
+// endpoint.
+type Verdict uint8
+
+const (
+	// MayHaveRun means that the request may have run. It is the zero value,
+	// since it is true of every request.
+	MayHaveRun Verdict = iota
+	// NotRun means that no byte of the request reached an endpoint.
+	NotRun
+	// Ran means that the request ran, although its answer can't be given.
+	Ran
+)
+
+var verdictTexts = [...]string{MayHaveRun: "may_have_run", NotRun: "not_run", Ran: "ran"}
+
+// String returns the verdict as it stands in the Keel-Verdict header.
+func (v Verdict) String() string {
+	if int(v) >= len(verdictTexts) {
+		return verdictTexts[MayHaveRun]
+	}
+	return verdictTexts[v]
+}
+
+// MarshalText implements [encoding.TextMarshaler].
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, s := range verdictTexts {
+		if s == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return errors.Errorf("%q is not a verdict", text)
+}
+
+// Weaken returns the strongest verdict that is true whether v or w holds: v if
+// they are equal, else [MayHaveRun]. A verdict is only ever changed by Weaken
+// on its way to the caller.
+func (v Verdict) Weaken(w Verdict) Verdict {
+	if v == w {
+		return v
+	}
+	return MayHaveRun
+}
