keel: CBORWriter.Write returns nil when it wrote

errors.Wrapf of go-faster/errors returns a non-nil error also for a nil one, so every successful write was reported as failed.

--- a/codec.go
+++ b/codec.go
@@ -103,7 +103,10 @@
 
 // Write writes one value.
 func (w *CBORWriter) Write(v any) error {
-	return errors.Wrapf(w.enc.Encode(v), "write %T", v)
+	if err := w.enc.Encode(v); err != nil {
+		return errors.Wrapf(err, "write %T", v)
+	}
+	return nil
 }
 
 // CBORReader reads CBOR values one after the other from a stream.
