--- /dev/null
+++ b/keelstore/folder.go
@@ -0,0 +1,207 @@
+package keelstore
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/go-faster/errors"
+)
+
+// Names of the files in a data folder.
+const (
+	voteFile     = "vote.keel"
+	snapshotFile = "snapshot.keel"
+	lockFile     = "lock"
+	logPattern   = "log-%016d.keel"
+	logGlob      = "log-*.keel"
+)
+
+// segmentFile is a file of the log with its content.
+type segmentFile struct {
+	path string
+	seq  uint64
+	Segment
+}
+
+func (f *segmentFile) maxIndex() uint64 {
+	m := f.BaseIndex
+	for i := range f.Entries {
+		m = max(m, f.Entries[i].Index)
+	}
+	return m
+}
+
+// folder is the content of a data folder.
+type folder struct {
+	// fresh says that the folder holds nothing yet but perhaps the first vote.
+	fresh    bool
+	vote     keel.StoredVote
+	snapshot keel.StoredSnapshot
+	segments []segmentFile
+	// base is the entry before the first of entries.
+	base    position
+	entries []keel.LogEntry
+}
+
+// position names an entry of the log.
+type position struct{ index, term uint64 }
+
+func (fo *folder) last() position {
+	if n := len(fo.entries); n > 0 {
+		return position{fo.entries[n-1].Index, fo.entries[n-1].Term}
+	}
+	return fo.base
+}
+
+// readFolder reads and checks every file of dir.
+func readFolder(dir string) (folder, error) {
+	var fo folder
+	hasVote, err := readSingle(dir, voteFile, kindVote, (*checkedVote)(&fo.vote))
+	if err != nil {
+		return fo, err
+	}
+	hasSnapshot, err := readSingle(dir, snapshotFile, kindSnapshot, (*checkedSnapshot)(&fo.snapshot))
+	if err != nil {
+		return fo, err
+	}
+	if fo.segments, err = readSegments(dir); err != nil {
+		return fo, err
+	}
+	if !hasVote && (hasSnapshot || len(fo.segments) > 0) {
+		return fo, &DamageError{filepath.Join(dir, voteFile), 0, "file is missing"}
+	}
+	if len(fo.segments) == 0 {
+		if hasSnapshot || fo.vote.Term > 0 {
+			return fo, &DamageError{filepath.Join(dir, fmt.Sprintf(logPattern, 1)), 0, "every file of the log is missing"}
+		}
+		fo.fresh = true
+		return fo, nil
+	}
+	return fo, fo.replay()
+}
+
+// replay builds the entries after the snapshot from the segments.
+func (fo *folder) replay() error {
+	snap := position{fo.snapshot.Index, fo.snapshot.Term}
+	fo.base = position{fo.segments[0].BaseIndex, fo.segments[0].BaseTerm}
+	for i := range fo.segments {
+		seg := &fo.segments[i]
+		start := position{seg.BaseIndex, seg.BaseTerm}
+		if start != fo.last() || i == 0 {
+			// The log was started anew behind a snapshot.
+			if start.index > snap.index {
+				return &DamageError{seg.path, baseIndexAt, fmt.Sprintf("file goes on after entry %d, which no file before it holds", start.index)}
+			}
+			fo.base, fo.entries = start, nil
+		}
+		for _, e := range seg.Entries {
+			if e.Index <= fo.base.index {
+				return &DamageError{seg.path, headerSize, fmt.Sprintf("entry %d replaces an entry behind the start of the log at %d", e.Index, fo.base.index)}
+			}
+			fo.entries = append(fo.entries[:e.Index-fo.base.index-1], e)
+		}
+	}
+	fo.trim(snap)
+	return nil
+}
+
+// trim drops the entries that the snapshot holds, and all entries if the log
+// does not go on from the snapshot.
+func (fo *folder) trim(snap position) {
+	if fo.base == snap {
+		return
+	}
+	drop := snap.index - fo.base.index
+	if n := uint64(len(fo.entries)); drop == 0 || drop > n || fo.entries[drop-1].Term != snap.term {
+		fo.entries = nil
+	} else {
+		fo.entries = slices.Clone(fo.entries[drop:])
+	}
+	fo.base = snap
+}
+
+func readSegments(dir string) ([]segmentFile, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, logGlob))
+	if err != nil {
+		return nil, errors.Wrapf(err, "list log files in %s", dir)
+	}
+	slices.Sort(paths)
+	var files []segmentFile
+	for i, path := range paths {
+		f := segmentFile{path: path}
+		if _, err := fmt.Sscanf(filepath.Base(path), logPattern, &f.seq); err != nil {
+			return nil, &DamageError{path, 0, "file name has no number"}
+		}
+		if i > 0 && f.seq != files[i-1].seq+1 {
+			return nil, &DamageError{path, 0, fmt.Sprintf("log file %d is missing", files[i-1].seq+1)}
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "read log")
+		}
+		if f.Segment, err = ReadSegment(path, b); err != nil {
+			return nil, err
+		}
+		if f.Torn && i < len(paths)-1 {
+			return nil, &DamageError{path, f.Size, "record is not whole, but another log file follows"}
+		}
+		files = append(files, f)
+	}
+	return files, nil
+}
+
+// readSingle reads a file that holds one record. Such a file is replaced as a
+// whole, so it is never torn.
+func readSingle(dir, name string, kind fileKind, v keel.Checker) (bool, error) {
+	path := filepath.Join(dir, name)
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, errors.Wrapf(err, "read %s", name)
+	}
+	if _, err := decodeHeader(path, b, kind); err != nil {
+		return false, err
+	}
+	payload, end, err := readRecord(path, b, headerSize)
+	if torn := (errTorn{}); errors.As(err, &torn) {
+		return false, &DamageError{path, torn.offset, "record is not whole"}
+	}
+	if err != nil {
+		return false, err
+	}
+	if end != int64(len(b)) {
+		return false, &DamageError{path, end, "data follows the record"}
+	}
+	if err := keel.DecodeCBOR(payload, v); err != nil {
+		return false, &DamageError{path, headerSize, err.Error()}
+	}
+	return true, nil
+}
+
+type checkedVote keel.StoredVote
+
+// Check reports a missing incarnation.
+func (v *checkedVote) Check() keel.Faults {
+	var fs keel.Faults
+	if v.Incarnation == 0 {
+		fs.Add("incarnation", "must not be 0")
+	}
+	return fs
+}
+
+type checkedSnapshot keel.StoredSnapshot
+
+// Check reports a missing index.
+func (s *checkedSnapshot) Check() keel.Faults {
+	var fs keel.Faults
+	if s.Index == 0 {
+		fs.Add("index", "must not be 0")
+	}
+	return fs
+}
--- /dev/null
+++ b/keelstore/store.go
@@ -0,0 +1,412 @@
+package keelstore
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/go-faster/errors"
+	"github.com/google/renameio/v2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	defaultSegmentSize = 16 << 20 // bytes
+	filePerm           = 0o600
+	dirPerm            = 0o700
+	// maxPayload is the limit of a record's length field, in bytes.
+	maxPayload = 1<<32 - 1
+)
+
+// Config says where a store keeps its files.
+type Config struct {
+	// Dir is the data folder. It is made if it does not exist.
+	Dir string
+	// SegmentSize is the length at which a new log file is started, in bytes.
+	// 0 means 16 MiB.
+	SegmentSize int64
+	// Sync brings a written file to the disk; nil means fdatasync. Tests use
+	// it to let a sync fail.
+	Sync func(f *os.File) error
+}
+
+// Store keeps a voter's log, vote and snapshot in a data folder. It is safe for
+// use by several goroutines.
+type Store struct {
+	mu     sync.Mutex
+	cfg    Config
+	lock   *os.File
+	active *os.File
+	size   int64 // of the active file, in bytes
+	seq    uint64
+	old    []oldSegment
+	top    uint64 // highest index in the active file
+	base   position
+	terms  []uint64 // of the entries after base
+	vote   keel.StoredVote
+	// loaded is what Open read, until Load hands it out.
+	loaded *keel.StoredState
+	failed error
+}
+
+// oldSegment is a log file that gets no more records.
+type oldSegment struct {
+	path string
+	top  uint64
+}
+
+var _ keel.Storage = (*Store)(nil)
+
+// Open opens the data folder, or makes it with a new incarnation if it holds
+// nothing. It cuts off a record that is not whole at the end of the log. Other
+// damage is a [*DamageError]. A folder that another process has open is an
+// error.
+func Open(cfg Config) (*Store, error) {
+	if cfg.SegmentSize == 0 {
+		cfg.SegmentSize = defaultSegmentSize
+	}
+	if cfg.Sync == nil {
+		cfg.Sync = func(f *os.File) error { return unix.Fdatasync(int(f.Fd())) }
+	}
+	if err := os.MkdirAll(cfg.Dir, dirPerm); err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	lock, err := lockDir(cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{cfg: cfg, lock: lock}
+	if err := s.open(); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func lockDir(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_CREATE|os.O_RDWR, filePerm)
+	if err != nil {
+		return nil, errors.Wrap(err, "open lock file")
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, errors.Wrapf(err, "data folder %s is in use by another process", dir)
+	}
+	return f, nil
+}
+
+func (s *Store) open() error {
+	fo, err := readFolder(s.cfg.Dir)
+	if err != nil {
+		return err
+	}
+	if fo.fresh {
+		return s.create(fo.vote)
+	}
+	s.vote, s.base = fo.vote, fo.base
+	for i := range fo.entries {
+		s.terms = append(s.terms, fo.entries[i].Term)
+	}
+	s.loaded = &keel.StoredState{Vote: fo.vote, Snapshot: fo.snapshot, Entries: fo.entries}
+	for i := range fo.segments[:len(fo.segments)-1] {
+		f := &fo.segments[i]
+		s.old = append(s.old, oldSegment{f.path, f.maxIndex()})
+	}
+	end := &fo.segments[len(fo.segments)-1]
+	if err := s.reopen(end); err != nil {
+		return err
+	}
+	if endOf(end) != s.last() {
+		// The process died between a snapshot and the start of a new file.
+		return s.roll()
+	}
+	return nil
+}
+
+// endOf returns the position after the last record of f.
+func endOf(f *segmentFile) position {
+	if n := len(f.Entries); n > 0 {
+		return position{f.Entries[n-1].Index, f.Entries[n-1].Term}
+	}
+	return position{f.BaseIndex, f.BaseTerm}
+}
+
+func (s *Store) create(v keel.StoredVote) error {
+	if v.Incarnation == 0 {
+		v.Incarnation = drawIncarnation()
+	}
+	if err := s.writeVote(v); err != nil {
+		return err
+	}
+	s.loaded = &keel.StoredState{Vote: v}
+	return s.roll()
+}
+
+func drawIncarnation() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:])
+		if n := binary.LittleEndian.Uint64(b[:]); n != 0 {
+			return n
+		}
+	}
+}
+
+// reopen opens the last log file for appending and cuts off a torn record.
+func (s *Store) reopen(f *segmentFile) error {
+	file, err := os.OpenFile(f.path, os.O_WRONLY|os.O_APPEND, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	s.active, s.size, s.seq, s.top = file, f.Size, f.seq, f.maxIndex()
+	if !f.Torn {
+		return nil
+	}
+	if err := file.Truncate(f.Size); err != nil {
+		return errors.Wrap(err, "cut torn record")
+	}
+	if err := s.cfg.Sync(file); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	return nil
+}
+
+// Load returns what is stored.
+func (s *Store) Load() (keel.StoredState, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return keel.StoredState{}, s.failed
+	}
+	if st := s.loaded; st != nil {
+		s.loaded = nil
+		return *st, nil
+	}
+	fo, err := readFolder(s.cfg.Dir)
+	if err != nil {
+		return keel.StoredState{}, err
+	}
+	return keel.StoredState{Vote: fo.vote, Snapshot: fo.snapshot, Entries: fo.entries}, nil
+}
+
+// SaveVote stores the term and the vote. The incarnation stays the one that was
+// drawn when the folder was made.
+func (s *Store) SaveVote(v keel.StoredVote) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	s.loaded = nil
+	v.Incarnation = s.vote.Incarnation
+	return s.fail("the vote", s.writeVote(v))
+}
+
+func (s *Store) writeVote(v keel.StoredVote) error {
+	if err := s.replace(voteFile, fileHeader{kind: kindVote}, &v); err != nil {
+		return err
+	}
+	s.vote = v
+	return nil
+}
+
+// Append stores entries with one write and one sync. They replace stored
+// entries from the first one's index on.
+func (s *Store) Append(entries []keel.LogEntry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	if first := entries[0].Index; first <= s.base.index || first > s.last().index+1 {
+		return errors.Errorf("append entry %d to a log of entries %d to %d", first, s.base.index+1, s.last().index)
+	}
+	s.loaded = nil
+	return s.fail("entries", s.append(entries))
+}
+
+func (s *Store) append(entries []keel.LogEntry) error {
+	if s.size >= s.cfg.SegmentSize {
+		if err := s.roll(); err != nil {
+			return err
+		}
+	}
+	var b []byte
+	for i := range entries {
+		payload, err := keel.EncodeCBOR(&entries[i])
+		if err != nil {
+			return err
+		}
+		b = appendRecord(b, s.size, payload)
+	}
+	if _, err := s.active.Write(b); err != nil {
+		return errors.Wrap(err, "write log")
+	}
+	if err := s.cfg.Sync(s.active); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	s.size += int64(len(b))
+	s.terms = s.terms[:entries[0].Index-s.base.index-1]
+	for i := range entries {
+		s.terms = append(s.terms, entries[i].Term)
+		s.top = max(s.top, entries[i].Index)
+	}
+	return nil
+}
+
+// SaveSnapshot stores a snapshot and removes the log files whose entries it
+// holds. If the log does not go on from the snapshot, all entries are dropped.
+func (s *Store) SaveSnapshot(snap keel.StoredSnapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if snap.Index <= s.base.index {
+		return errors.Errorf("snapshot of entry %d is older than the start of the log at %d", snap.Index, s.base.index)
+	}
+	s.loaded = nil
+	return s.fail("the snapshot", s.saveSnapshot(snap))
+}
+
+func (s *Store) saveSnapshot(snap keel.StoredSnapshot) error {
+	at := position{snap.Index, snap.Term}
+	if err := s.replace(snapshotFile, fileHeader{kind: kindSnapshot, index: at.index, term: at.term}, &snap); err != nil {
+		return err
+	}
+	drop := at.index - s.base.index
+	if drop > uint64(len(s.terms)) || s.terms[drop-1] != at.term {
+		s.terms = nil
+	} else {
+		s.terms = append([]uint64(nil), s.terms[drop:]...)
+	}
+	s.base = at
+	if err := s.roll(); err != nil {
+		return err
+	}
+	return s.removeOld()
+}
+
+// removeOld removes the log files whose entries all stand in the snapshot.
+func (s *Store) removeOld() error {
+	for len(s.old) > 0 && (s.old[0].top <= s.base.index || len(s.terms) == 0) {
+		if err := os.Remove(s.old[0].path); err != nil {
+			return errors.Wrap(err, "remove log")
+		}
+		s.old = s.old[1:]
+	}
+	return s.syncDir()
+}
+
+// roll starts a new log file after the last entry.
+func (s *Store) roll() error {
+	at := s.last()
+	name := fmt.Sprintf(logPattern, s.seq+1)
+	if err := s.replaceFile(name, fileHeader{kind: kindLog, index: at.index, term: at.term}.encode()); err != nil {
+		return err
+	}
+	path := filepath.Join(s.cfg.Dir, name)
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	if s.active != nil {
+		s.old = append(s.old, oldSegment{s.active.Name(), s.top})
+		_ = s.active.Close()
+	}
+	s.active, s.size, s.top = f, headerSize, at.index
+	s.seq++
+	return nil
+}
+
+func (s *Store) last() position {
+	if n := len(s.terms); n > 0 {
+		return position{s.base.index + uint64(n), s.terms[n-1]}
+	}
+	return s.base
+}
+
+// replace writes a file with one record by atomic replace.
+func (s *Store) replace(name string, h fileHeader, v any) error {
+	payload, err := keel.EncodeCBOR(v)
+	if err != nil {
+		return err
+	}
+	if len(payload) > maxPayload {
+		return errors.Errorf("%s has %d bytes, the limit is %d", name, len(payload), maxPayload)
+	}
+	return s.replaceFile(name, appendRecord(h.encode(), 0, payload))
+}
+
+func (s *Store) replaceFile(name string, b []byte) error {
+	f, err := renameio.NewPendingFile(filepath.Join(s.cfg.Dir, name), renameio.WithPermissions(filePerm))
+	if err != nil {
+		return errors.Wrapf(err, "replace %s", name)
+	}
+	defer func() { _ = f.Cleanup() }()
+	if _, err := f.Write(b); err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	if err := s.cfg.Sync(f.File); err != nil {
+		return errors.Wrapf(err, "sync %s", name)
+	}
+	if err := f.CloseAtomicallyReplace(); err != nil {
+		return errors.Wrapf(err, "replace %s", name)
+	}
+	return s.syncDir()
+}
+
+func (s *Store) syncDir() error {
+	d, err := os.Open(s.cfg.Dir)
+	if err != nil {
+		return errors.Wrap(err, "open data folder")
+	}
+	defer func() { _ = d.Close() }()
+	if err := d.Sync(); err != nil {
+		return errors.Wrap(err, "sync data folder")
+	}
+	return nil
+}
+
+// fail takes the store out of use if err is not nil.
+func (s *Store) fail(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	s.failed = &FailedError{Op: op, Err: err}
+	return s.failed
+}
+
+// Failed returns the error that took the store out of use, or nil.
+func (s *Store) Failed() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// Close releases the files.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = &FailedError{Op: "close", Err: os.ErrClosed}
+	}
+	var err error
+	if s.active != nil {
+		err = s.active.Close()
+		s.active = nil
+	}
+	if s.lock != nil {
+		err = errors.Join(err, s.lock.Close())
+		s.lock = nil
+	}
+	return err
+}
