--- /dev/null
+++ b/keelroute/digest.go
@@ -0,0 +1,148 @@
+package keelroute
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Digest carries an instance's share vectors to other instances, or to its own
+// next start. It is the body of a message of kind [keel.KindShares].
+type Digest struct {
+	From    keel.InstanceName `json:"from" cbor:"1,keyasint"`
+	Vectors []VectorDigest    `json:"vectors,omitempty" cbor:"2,keyasint,omitempty"`
+}
+
+// VectorDigest is one share vector with the moves that still count.
+type VectorDigest struct {
+	Source  Source            `json:"source" cbor:"1,keyasint"`
+	Domains []keel.DomainName `json:"domains" cbor:"2,keyasint"`
+	// Assigned holds, for each of the [Buckets], a position in Domains.
+	Assigned []byte `json:"assigned" cbor:"3,keyasint"`
+	Moves    []Move `json:"moves,omitempty" cbor:"4,keyasint,omitempty"`
+	// Updated is the time of the last move.
+	Updated time.Time `json:"updated" cbor:"5,keyasint"`
+	// FrozenUntil is when the vector may move again, if that lies ahead.
+	FrozenUntil time.Time `json:"frozen_until,omitzero" cbor:"6,keyasint,omitzero"`
+	// Covers is how far back Moves reaches.
+	Covers keel.Duration `json:"covers" cbor:"7,keyasint"`
+}
+
+// maxVectors bounds the vectors of one digest.
+const maxVectors = 100_000
+
+// Check reports the faults of the digest.
+func (d *Digest) Check() keel.Faults {
+	fs := keel.CheckName("from", d.From)
+	if len(d.Vectors) > maxVectors {
+		fs.Add("vectors", "has %d vectors, the limit is %d", len(d.Vectors), maxVectors)
+		return fs
+	}
+	for i := range d.Vectors {
+		fs.Under("vectors", d.Vectors[i].Check())
+	}
+	return fs
+}
+
+// Check reports the faults of the vector.
+func (d *VectorDigest) Check() keel.Faults {
+	var fs keel.Faults
+	fs = append(fs, keel.CheckName("source.selector", d.Source.Selector)...)
+	fs = append(fs, keel.CheckName("source.region", d.Source.Region)...)
+	if len(d.Domains) == 0 || len(d.Domains) > maxDomains {
+		fs.Add("domains", "has %d domains, must have 1 to %d", len(d.Domains), maxDomains)
+	}
+	for _, name := range d.Domains {
+		fs.Under("domains", keel.CheckName("", name))
+	}
+	if len(d.Assigned) != Buckets {
+		fs.Add("assigned", "has %d buckets, must have %d", len(d.Assigned), Buckets)
+	}
+	for i, at := range d.Assigned {
+		if int(at) >= len(d.Domains) {
+			fs.Add("assigned", "bucket %d names domain %d of %d", i, at, len(d.Domains))
+			break
+		}
+	}
+	return append(fs, d.checkMoves()...)
+}
+
+func (d *VectorDigest) checkMoves() keel.Faults {
+	var fs keel.Faults
+	if len(d.Moves) > maxMoves {
+		fs.Add("moves", "has %d moves, the limit is %d", len(d.Moves), maxMoves)
+	}
+	for i, m := range d.Moves {
+		if m.Buckets < 0 || m.Buckets > Buckets*maxMoves {
+			fs.Add("moves", "has %d buckets in one move", m.Buckets)
+		}
+		if i > 0 && m.At.Before(d.Moves[i-1].At) {
+			fs.Add("moves", "must be in the order of their times")
+		}
+	}
+	if d.Covers < 0 {
+		fs.Add("covers", "is %s, must not be negative", d.Covers)
+	}
+	return fs
+}
+
+// Digest returns all vectors, in the order of their sources.
+func (s *Shares) Digest() Digest {
+	d := Digest{From: s.cfg.Self}
+	for src, v := range s.vectors {
+		d.Vectors = append(d.Vectors, v.digest(src))
+	}
+	slices.SortFunc(d.Vectors, func(a, b VectorDigest) int {
+		if c := strings.Compare(string(a.Source.Selector), string(b.Source.Selector)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Source.Region), string(b.Source.Region))
+	})
+	return d
+}
+
+// Merge takes in another instance's digest, or the instance's own from before a
+// restart. A source that has no vector here starts from the freshest vector
+// heard, with what was spent on it. A vector that is in use stays as it is. Of
+// two digests for one source, the own one wins.
+func (s *Shares) Merge(now time.Time, peer Digest) {
+	for _, d := range peer.Vectors {
+		if _, inUse := s.vectors[d.Source]; inUse {
+			continue
+		}
+		if d.Updated.After(now) {
+			d.Updated = now
+		}
+		if known, ok := s.learnt[d.Source]; ok && !d.Updated.After(known.Updated) {
+			continue
+		}
+		s.learnt[d.Source] = d
+	}
+}
+
+func (v *vector) digest(src Source) VectorDigest {
+	return VectorDigest{
+		Source:      src,
+		Domains:     slices.Clone(v.domains),
+		Assigned:    slices.Clone(v.bucket[:]),
+		Moves:       slices.Clone(v.ledger.moves),
+		Updated:     v.updated,
+		FrozenUntil: v.frozenUntil,
+		Covers:      keel.Duration(v.keep),
+	}
+}
+
+func (v *vector) restore(d VectorDigest) {
+	v.domains = slices.Clone(d.Domains)
+	v.target = make([]int, len(v.domains))
+	copy(v.bucket[:], d.Assigned)
+	v.ledger.moves = slices.Clone(d.Moves)
+	v.updated = d.Updated
+	v.frozenUntil = d.FrozenUntil
+	if w := v.cap.Window.Std(); d.Covers.Std() < w {
+		v.freeze(d.Updated.Add(w))
+	}
+	v.keep = max(v.keep, d.Covers.Std())
+}
