keelclaim: claim keys by majority vote of the home's holders

Cause: nothing stopped a keyed request from running twice. Change: pure holder (votes, outcomes, answers, refill, barrier) and pure claimant (rounds, waits, fetch), each with its state chart; service over keel.Transport with redelivery, refill, hand-over and tickets that name the holders' starts, so that no clock decides whether a ticket is newer than a loss.

--- a/keelclaim/request.go
+++ b/keelclaim/request.go
@@ -1,6 +1,8 @@
 package keelclaim
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -70,3 +72,23 @@
 	}
 	return fs
 }
+
+// size returns the bytes that the answer occupies, headers included.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for _, f := range a.Header {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+// clone returns a copy that shares no memory with a.
+func (a *Answer) clone() *Answer {
+	c := *a
+	c.Body = slices.Clone(a.Body)
+	c.Header = make([]HeaderField, len(a.Header))
+	for i, f := range a.Header {
+		c.Header[i] = HeaderField{Name: strings.Clone(f.Name), Value: strings.Clone(f.Value)}
+	}
+	return &c
+}
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -3,11 +3,17 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	keel "github.com/greengagekeel/greengagekeel"
 )
@@ -36,6 +42,9 @@
 	Secret []byte
 	// Retention is how long a key is remembered after its last use.
 	Retention time.Duration
+	// ClockSlack is how far the clocks of two instances may be apart. Zero
+	// means [DefaultClockSlack].
+	ClockSlack time.Duration
 	// MaxAnswerBytes bounds one recorded answer.
 	MaxAnswerBytes int
 	// MaxTotalBytes bounds all claims and recorded answers of a holder.
@@ -44,63 +53,248 @@
 	Seed uint64
 }
 
+// DefaultClockSlack is how far the clocks of two instances may be apart.
+const DefaultClockSlack = 2 * time.Second
+
+// Intervals of the service's own work.
+const (
+	tickInterval  = 200 * time.Millisecond
+	helloInterval = 2 * time.Second
+	callTimeout   = 2 * time.Second
+)
+
 // Service claims keys and holds claims. It is safe for use by several
 // goroutines.
-type Service struct{ cfg Config }
+type Service struct {
+	cfg     Config
+	counter atomic.Uint64
+	// undelivered counts the messages that are sent until they arrive.
+	undelivered atomic.Int64
+	// ctx ends with Run.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	holder *Holder
+	phase  Phase
+	rng    *mathrand.Rand
+	// starts holds the latest known start of each holder.
+	starts map[keel.InstanceName]uint64
+	outbox []*delivery
+	closed bool
+	wg     conc.WaitGroup
+}
 
-// New returns a service. It does nothing before [Service.Run].
-func New(cfg Config) *Service { return &Service{cfg: cfg} }
+// New returns a service. It takes part in claims once [Service.Run] runs.
+func New(cfg Config) *Service {
+	if cfg.ClockSlack == 0 {
+		cfg.ClockSlack = DefaultClockSlack
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Service{
+		cfg:    cfg,
+		ctx:    ctx,
+		cancel: cancel,
+		holder: NewHolder(HolderConfig{
+			Self:           cfg.Self.Name,
+			Incarnation:    cfg.Self.Incarnation,
+			Started:        cfg.Clock.Now(),
+			Retention:      cfg.Retention,
+			ClockSlack:     cfg.ClockSlack,
+			MaxAnswerBytes: cfg.MaxAnswerBytes,
+			MaxTotalBytes:  cfg.MaxTotalBytes,
+		}),
+		rng:    mathrand.New(mathrand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		starts: map[keel.InstanceName]uint64{cfg.Self.Name: cfg.Self.Incarnation},
+	}
+}
 
 // Run owns the service's goroutines until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	loops := []func(context.Context){s.loopTick, s.loopRefill, s.loopHello}
+	for _, loop := range loops {
+		wg.Go(func() { loop(ctx) })
+	}
 	<-ctx.Done()
+	s.cancel()
+	wg.Wait()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.wg.Wait()
 	return nil
 }
 
-// Claim asks for the right to dispatch r. The error is a [*keel.Refusal].
-func (s *Service) Claim(_ context.Context, r Request) (*Grant, error) {
-	if err := r.Check().Err(); err != nil {
-		return nil, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "%v", err)
+// goRun starts f as a goroutine that Run waits for. It reports whether the
+// service still runs.
+func (s *Service) goRun(f func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.wg.Go(f)
+	return true
+}
+
+// loopTick follows the declarations, forgets what is too old and sends again
+// what did not arrive.
+func (s *Service) loopTick(ctx context.Context) {
+	ticker := s.cfg.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s.tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (s *Service) tick() {
+	now := s.cfg.Clock.Now()
+	sets := InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.memory())
+	lifted := s.cfg.BarrierLifted != nil && s.cfg.BarrierLifted()
+	s.mu.Lock()
+	s.holder.SetHolders(sets)
+	s.holder.LiftBarrier(lifted)
+	s.holder.Expire(now)
+	old, phase := s.phase, s.holder.Phase(now)
+	s.phase = phase
+	due := s.takeDue(now)
+	s.mu.Unlock()
+	if old != phase {
+		s.cfg.Log.WithFields(logrus.Fields{"from": old, "to": phase}).Info("claim holder changed its phase")
+	}
+	for _, d := range due {
+		s.goRun(d.run)
 	}
-	return nil, keel.Refuse(keel.NotRun, keel.ReasonClaimHome, time.Second, "no holder was asked")
 }
 
+// memory is how long a claim may be remembered anywhere.
+func (s *Service) memory() time.Duration { return s.cfg.Retention + 2*s.cfg.ClockSlack }
+
 // HandleMessage implements [keel.Handler] for [keel.KindClaim].
 func (s *Service) HandleMessage(_ context.Context, e keel.Envelope) (keel.Envelope, error) {
-	return keel.Envelope{Kind: e.Kind, From: s.cfg.Self.Name}, nil
+	var m Message
+	if err := keel.DecodeCBOR(e.Body, &m); err != nil {
+		return keel.Envelope{}, errors.Wrapf(err, "claim message of %q", e.From)
+	}
+	if a, ok := m.attempt(); ok && a.Instance != e.From {
+		return keel.Envelope{}, errors.Errorf("instance %q speaks for an attempt of %q", e.From, a.Instance)
+	}
+	body, err := keel.EncodeCBOR(s.handle(e.From, m))
+	return keel.Envelope{Kind: keel.KindClaim, From: s.cfg.Self.Name, Body: body}, err
 }
 
-// Dump returns the state of the service for operators.
-func (s *Service) Dump() any { return struct{}{} }
+// handle lets the holder answer a message of an instance, which may be this
+// one.
+func (s *Service) handle(from keel.InstanceName, m Message) Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	reply := Reply{Incarnation: s.cfg.Self.Incarnation, Phase: s.holder.Phase(now)}
+	switch {
+	case m.Ask != nil:
+		vote := s.holder.Ask(now, *m.Ask)
+		reply.Vote = &vote
+	case m.Settle != nil:
+		s.holder.Settle(now, *m.Settle)
+	case m.Release != nil:
+		s.holder.Release(now, *m.Release)
+	case m.Fetch != nil:
+		reply.Answer, _ = s.holder.Fetch(now, *m.Fetch)
+	case m.Refill != nil:
+		page := s.holder.Refill(now, from, *m.Refill)
+		reply.Page = &page
+	case m.Push != nil:
+		s.holder.Push(now, *m.Push)
+	}
+	return reply
+}
+
+// exchange sends a message to a holder and returns its reply.
+func (s *Service) exchange(to keel.InstanceName, m Message) (Reply, error) {
+	if to == s.cfg.Self.Name {
+		return s.handle(to, m), nil
+	}
+	addr, ok := s.cfg.Resolve(to)
+	if !ok {
+		return Reply{}, errors.Errorf("instance %q has no known address", to)
+	}
+	body, err := keel.EncodeCBOR(m)
+	if err != nil {
+		return Reply{}, err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	e, err := s.cfg.Transport.Call(ctx, addr, keel.Envelope{Kind: keel.KindClaim, From: s.cfg.Self.Name, Body: body})
+	if err != nil {
+		return Reply{}, errors.Wrapf(err, "ask holder %q", to)
+	}
+	var reply Reply
+	if err := keel.DecodeCBOR(e.Body, &reply); err != nil {
+		return Reply{}, errors.Wrapf(err, "reply of holder %q", to)
+	}
+	s.mu.Lock()
+	s.starts[to] = max(s.starts[to], reply.Incarnation)
+	s.mu.Unlock()
+	return reply, nil
+}
 
 // NewTicket returns a new key whose home is this instance's failure domain.
 func (s *Service) NewTicket(now time.Time) string {
 	t := Ticket{Home: s.cfg.Self.Domain, IssuedAt: now}
 	// Read never fails: the runtime ends the process instead.
 	_, _ = rand.Read(t.Random[:])
+	holders := members(InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.memory()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range holders[:min(len(holders), maxTicketTags)] {
+		if start, ok := s.starts[name]; ok {
+			t.Starts = append(t.Starts, TagOf(name, start))
+		}
+	}
 	return t.Sign(s.cfg.Secret)
 }
 
-// Leave hands the claims over to the other holders before a planned stop.
-func (s *Service) Leave(_ context.Context) error { return nil }
-
-// Grant is the right to dispatch one request, or the recorded answer of an
-// earlier one.
-type Grant struct{ answer *Answer }
-
-// Answer returns the recorded answer, if the key has run already.
-func (g *Grant) Answer() (*Answer, bool) { return g.answer, g.answer != nil }
+func (s *Service) nextAttempt() Attempt {
+	return Attempt{
+		Instance:    s.cfg.Self.Name,
+		Incarnation: s.cfg.Self.Incarnation,
+		Counter:     s.counter.Add(1),
+	}
+}
 
-// Usable reports whether the request may still be dispatched. It is asked right
-// before the first byte leaves for an endpoint.
-func (g *Grant) Usable() bool { return g.answer == nil }
+func (s *Service) random() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Uint64()
+}
 
-// Settle records that the request ran, with its whole answer.
-func (g *Grant) Settle(_ context.Context, _ Answer) {}
+// ParseKey returns the ticket that a key is, or false for an opaque key. A
+// forged or malformed ticket gives a [*keel.Refusal].
+func (s *Service) ParseKey(key string) (Ticket, bool, error) {
+	if !IsTicket(key) {
+		return Ticket{}, false, nil
+	}
+	t, err := ParseTicket(s.cfg.Secret, key)
+	if err != nil {
+		return t, true, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "idempotency key: %v", err)
+	}
+	return t, true, nil
+}
 
-// SettleUnknown records that the request may have run.
-func (g *Grant) SettleUnknown(_ context.Context) {}
+// HomeOf returns the failure domain that claims the request's key now.
+func (s *Service) HomeOf(r Request) (keel.DomainName, bool) {
+	if t, ok, err := s.ParseKey(r.Key); ok {
+		return t.Home, err == nil
+	}
+	return HomeOf(IDOf(s.cfg.Secret, r), s.cfg.Domains())
+}
 
-// Release gives the claim back. It is allowed only if no byte of the request
-// has left for an endpoint and none will.
-func (g *Grant) Release(_ context.Context) {}
+// seedOf draws a position that is stable for a key, such that copies of answers
+// spread over the holders.
+func seedOf(key KeyID) uint64 { return binary.BigEndian.Uint64(key[:8]) }
--- /dev/null
+++ b/keelclaim/service_test.go
@@ -0,0 +1,206 @@
+package keelclaim_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelclaim"
+)
+
+func request(key string, within time.Duration) keelclaim.Request {
+	return keelclaim.Request{
+		Service: "fees", Caller: "ana", Key: key, BodyHash: 7, Deadline: time.Now().Add(within),
+	}
+}
+
+var testAnswer = keelclaim.Answer{
+	Status: 201,
+	Header: []keelclaim.HeaderField{{Name: "Content-Type", Value: "text/plain"}},
+	Body:   []byte("paid"),
+}
+
+// refusalOf returns the refusal that err is.
+func refusalOf(t testing.TB, err error) *keel.Refusal {
+	t.Helper()
+	var r *keel.Refusal
+	if !errors.As(err, &r) {
+		t.Fatalf("error is %v, want a refusal", err)
+	}
+	return r
+}
+
+func TestResend(t *testing.T) {
+	big := testAnswer
+	big.Body = make([]byte, 100<<10)
+	tests := []struct {
+		name    string
+		finish  func(ctx context.Context, g *keelclaim.Grant)
+		change  func(r *keelclaim.Request)
+		verdict keel.Verdict
+		reason  keel.Reason
+		answer  bool
+		grant   bool
+	}{
+		{"answered", func(ctx context.Context, g *keelclaim.Grant) { g.Settle(ctx, testAnswer) }, nil, 0, "", true, false},
+		{"answer too large", func(ctx context.Context, g *keelclaim.Grant) { g.Settle(ctx, big) }, nil, keel.Ran, keel.ReasonDuplicate, false, false},
+		{"ran", func(ctx context.Context, g *keelclaim.Grant) { g.SettleRan(ctx) }, nil, keel.Ran, keel.ReasonDuplicate, false, false},
+		{"unknown", func(ctx context.Context, g *keelclaim.Grant) { g.SettleUnknown(ctx) }, nil, keel.MayHaveRun, keel.ReasonDuplicate, false, false},
+		{"late answer", func(ctx context.Context, g *keelclaim.Grant) { g.SettleUnknown(ctx); g.Settle(ctx, testAnswer) }, nil, 0, "", true, false},
+		{"running", func(context.Context, *keelclaim.Grant) {}, nil, keel.MayHaveRun, keel.ReasonDuplicate, false, false},
+		{"released", func(ctx context.Context, g *keelclaim.Grant) { g.Release(ctx) }, nil, 0, "", false, true},
+		{"released after settled", func(ctx context.Context, g *keelclaim.Grant) { g.SettleRan(ctx); g.Release(ctx) }, nil, keel.Ran, keel.ReasonDuplicate, false, false},
+		{"settled after released", func(ctx context.Context, g *keelclaim.Grant) { g.Release(ctx); g.SettleRan(ctx) }, nil, 0, "", false, true},
+		{"other body", func(ctx context.Context, g *keelclaim.Grant) { g.Settle(ctx, testAnswer) }, func(r *keelclaim.Request) { r.BodyHash++ }, keel.NotRun, keel.ReasonKeyConflict, false, false},
+		{"other caller", func(ctx context.Context, g *keelclaim.Grant) { g.Settle(ctx, testAnswer) }, func(r *keelclaim.Request) { r.Caller = "awa" }, 0, "", false, true},
+		{"other service", func(ctx context.Context, g *keelclaim.Grant) { g.Settle(ctx, testAnswer) }, func(r *keelclaim.Request) { r.Service = "scores" }, 0, "", false, true},
+	}
+	_, all := home(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			key := strings.ReplaceAll(tt.name, " ", "-")
+			first, err := all[0].Claim(t.Context(), request(key, time.Minute))
+			is.NoErr(err)
+			is.True(first.Usable())
+			tt.finish(t.Context(), first)
+			again := request(key, 300*time.Millisecond)
+			if tt.grant {
+				again.Deadline = time.Now().Add(time.Minute)
+			}
+			if tt.change != nil {
+				tt.change(&again)
+			}
+			second, err := all[1].Claim(t.Context(), again)
+			if tt.verdict != 0 || tt.reason != "" {
+				r := refusalOf(t, err)
+				is.Equal(r.Verdict, tt.verdict)
+				is.Equal(r.Reason, tt.reason)
+				return
+			}
+			is.NoErr(err)
+			got, ok := second.Answer()
+			is.Equal(ok, tt.answer)
+			is.Equal(second.Usable(), tt.grant)
+			if ok {
+				is.Equal(cmp.Diff(*got, testAnswer), "")
+			}
+		})
+	}
+}
+
+func TestClaimRefused(t *testing.T) {
+	forged := testTicket().Sign([]byte("forged"))
+	tests := []struct {
+		name    string
+		down    []keel.InstanceName
+		request keelclaim.Request
+		verdict keel.Verdict
+		reason  keel.Reason
+	}{
+		{"no key", nil, request("", time.Second), keel.NotRun, keel.ReasonBadRequest},
+		{"control character", nil, request("a\nb", time.Second), keel.NotRun, keel.ReasonBadRequest},
+		{"forged ticket", nil, request(forged, time.Second), keel.NotRun, keel.ReasonBadRequest},
+		{"deadline beyond the retention", nil, request("a", time.Hour), keel.NotRun, keel.ReasonBadRequest},
+		{"majority cut off", []keel.InstanceName{"k2", "k3"}, request("a", 100*time.Millisecond), keel.NotRun, keel.ReasonClaimHome},
+		{"old ticket", nil, request(testTicket().Sign(testSecret), time.Second), keel.MayHaveRun, keel.ReasonClaimBarrier},
+	}
+	n, all := home(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n.setDown(true, tt.down...)
+			defer n.setDown(false, tt.down...)
+			_, err := all[0].Claim(t.Context(), tt.request)
+			r := refusalOf(t, err)
+			is.Equal(r.Verdict, tt.verdict)
+			is.Equal(r.Reason, tt.reason)
+		})
+	}
+}
+
+func TestCancelledClaimIsReleased(t *testing.T) {
+	is := is.New(t)
+	n, all := home(t)
+	n.setDown(true, "k2", "k3")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := all[0].Claim(ctx, request("key", time.Minute))
+	is.Equal(refusalOf(t, err).Verdict, keel.NotRun)
+	n.setDown(false, "k2", "k3")
+	_, err = all[1].Claim(t.Context(), request("key", time.Minute))
+	is.NoErr(err) // the cancelled claim stands in nobody's way
+}
+
+// TestHolderRestart restarts the holders of a home and asks for a key that was
+// claimed before.
+func TestHolderRestart(t *testing.T) {
+	tests := []struct {
+		name    string
+		restart []keel.InstanceName
+		phase   keelclaim.Phase
+		verdict keel.Verdict
+		reason  keel.Reason
+	}{
+		{"one of three reads the claims", []keel.InstanceName{"k2"}, keelclaim.PhaseWhole, keel.Ran, keel.ReasonDuplicate},
+		{"two of three bar old keys", []keel.InstanceName{"k2", "k3"}, keelclaim.PhaseBarrier, keel.Ran, keel.ReasonDuplicate},
+		{"all bar old keys", []keel.InstanceName{"k1", "k2", "k3"}, keelclaim.PhaseBarrier, keel.MayHaveRun, keel.ReasonClaimBarrier},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			n, all := home(t)
+			g, err := all[0].Claim(t.Context(), request("key", time.Minute))
+			is.NoErr(err)
+			g.SettleRan(t.Context())
+			n.mu.Lock()
+			n.sets["dakar-a"] = []keelclaim.Set{{Holders: n.sets["dakar-a"][0].Holders}}
+			n.mu.Unlock()
+			var last *keelclaim.Service
+			var restarted []*keelclaim.Service
+			for _, name := range tt.restart {
+				n.setDown(true, name)
+			}
+			for _, name := range tt.restart {
+				last, _ = n.start(t, name, "dakar-a", 2)
+				restarted = append(restarted, last)
+			}
+			n.setDown(false, tt.restart...)
+			for _, s := range restarted {
+				waitPhase(t, s, tt.phase)
+			}
+			_, err = last.Claim(t.Context(), request("key", 2*time.Second))
+			r := refusalOf(t, err)
+			is.Equal(r.Verdict, tt.verdict)
+			is.Equal(r.Reason, tt.reason)
+			key := last.NewTicket(time.Now())
+			_, err = last.Claim(t.Context(), request(key, time.Minute))
+			is.NoErr(err) // a ticket that was issued after the loss runs
+		})
+	}
+}
+
+func TestLeaveHandsOver(t *testing.T) {
+	is := is.New(t)
+	n, all := home(t)
+	n.setDown(true, "k3")
+	g, err := all[0].Claim(t.Context(), request("key", time.Minute))
+	is.NoErr(err)
+	n.setDown(false, "k3")
+	is.NoErr(all[0].Leave(t.Context()))
+	is.NoErr(all[1].Leave(t.Context()))
+	waitPhase(t, all[0], keelclaim.PhaseLeaving)
+	_, err = all[2].Claim(t.Context(), request("key", 100*time.Millisecond))
+	is.Equal(refusalOf(t, err).Verdict, keel.MayHaveRun) // the third holder knows the claim
+	g.Settle(t.Context(), testAnswer)
+	again, err := all[2].Claim(t.Context(), request("key", time.Minute))
+	is.NoErr(err)
+	_, ok := again.Answer()
+	is.True(ok)
+}
