--- /dev/null
+++ b/keelquorum/apply.go
@@ -0,0 +1,129 @@
+package keelquorum
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/go-faster/errors"
+)
+
+// applier hands committed entries to the state machine. It works beside the
+// core's loop, so that a slow state machine delays no heartbeat.
+type applier struct {
+	node    *Node
+	applied atomic.Uint64
+	// since counts the entries applied since the last snapshot.
+	since  int
+	failed chan error
+
+	mu    sync.Mutex
+	queue []applyStep
+	wake  chan struct{}
+}
+
+// applyStep is a snapshot to restore or entries to apply.
+type applyStep struct {
+	restore *keel.StoredSnapshot
+	entries []keel.LogEntry
+}
+
+func newApplier(n *Node) *applier {
+	return &applier{node: n, failed: make(chan error, 1), wake: make(chan struct{}, 1)}
+}
+
+// add queues what the core wants applied. It does not wait.
+func (a *applier) add(acts *Actions) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if acts.Restore {
+		a.queue = append(a.queue, applyStep{restore: acts.Snapshot})
+	}
+	if len(acts.Apply) > 0 {
+		a.queue = append(a.queue, applyStep{entries: acts.Apply})
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *applier) take() []applyStep {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	steps := a.queue
+	a.queue = nil
+	return steps
+}
+
+func (a *applier) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		}
+		for _, s := range a.take() {
+			if err := a.work(ctx, s); err != nil {
+				a.failed <- err
+				return
+			}
+		}
+	}
+}
+
+func (a *applier) work(ctx context.Context, s applyStep) error {
+	if s.restore != nil {
+		if err := a.restore(*s.restore); err != nil {
+			return err
+		}
+		a.node.snapshotRestored(s.restore.Index)
+	}
+	for i := range s.entries {
+		e := &s.entries[i]
+		if e.Type == keel.EntryCommand {
+			a.node.cfg.Machine.Apply(e.Index, e.Data)
+		}
+		a.node.entryApplied(e.Index, e.Term)
+		a.since++
+	}
+	if a.since >= a.node.cfg.SnapshotEvery {
+		return a.snapshot(ctx)
+	}
+	return nil
+}
+
+func (a *applier) restore(s keel.StoredSnapshot) error {
+	if s.Index == 0 {
+		return nil
+	}
+	if err := a.node.cfg.Machine.Restore(s.Index, bytes.NewReader(s.Data)); err != nil {
+		return errors.Wrapf(err, "restore the snapshot of entry %d", s.Index)
+	}
+	a.applied.Store(s.Index)
+	a.since = 0
+	return nil
+}
+
+// snapshot writes the state machine's state and gives it to the core.
+func (a *applier) snapshot(ctx context.Context) error {
+	index := a.applied.Load()
+	var b bytes.Buffer
+	if err := a.node.cfg.Machine.Snapshot(&b); err != nil {
+		return errors.Wrapf(err, "make the snapshot of entry %d", index)
+	}
+	a.since = 0
+	select {
+	case a.node.calls <- func(now time.Time) {
+		if !now.IsZero() {
+			a.node.core.Compact(index, b.Bytes())
+		}
+	}:
+	case <-ctx.Done():
+	}
+	return nil
+}
--- a/keelquorum/node.go
+++ b/keelquorum/node.go
@@ -1,20 +1,33 @@
 package keelquorum
 
 import (
-	"bytes"
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 )
 
-// MaxEntrySize is the limit of one proposal, in bytes.
-const MaxEntrySize = 8 << 20
+const (
+	// MaxEntrySize is the limit of one proposal, in bytes.
+	MaxEntrySize = 8 << 20
+
+	defaultHeartbeat     = 100 * time.Millisecond
+	electionHeartbeats   = 10
+	defaultSnapshotEvery = 1000
+	ticksPerHeartbeat    = 2
+	// inboxSize is the number of messages that wait for the core; more are
+	// dropped, as a network may do.
+	inboxSize = 1024
+	// maxInputs is the number of messages and calls between two syncs.
+	maxInputs = 512
+)
 
 // Config holds what a node works with.
 type Config struct {
@@ -29,9 +42,10 @@
 	// Resolve returns the peer address of an instance, or false.
 	Resolve func(keel.InstanceName) (netip.AddrPort, bool)
 	// Bootstrap names the voters of the first start. All of them must be up
-	// once, so that their incarnations are known.
+	// once, so that the disk of each is known. An instance that joins later
+	// has none.
 	Bootstrap []keel.InstanceName
-	// Log takes the node's log lines.
+	// Log takes the node's log lines; nil means the standard logger.
 	Log *logrus.Entry
 	// Seed seeds the election timeouts.
 	Seed uint64
@@ -46,98 +60,281 @@
 	SnapshotEvery int
 }
 
-// Node runs a core.
+// Check reports missing values.
+func (cfg *Config) Check() keel.Faults {
+	fs := keel.CheckName("self", cfg.Self)
+	if cfg.Storage == nil {
+		fs.Add("storage", "must be given")
+	}
+	if cfg.Machine == nil {
+		fs.Add("machine", "must be given")
+	}
+	if cfg.Transport == nil || cfg.Resolve == nil {
+		fs.Add("transport", "must be given with resolve")
+	}
+	if cfg.Heartbeat < 0 || cfg.Election < 0 || cfg.Election < 2*cfg.Heartbeat {
+		fs.Add("election", "is %v, must be at least twice the heartbeat of %v", cfg.Election, cfg.Heartbeat)
+	}
+	if n := len(cfg.Bootstrap); n != 0 && n != 1 && n != 3 && n != 5 {
+		fs.Add("bootstrap", "has %d voters, must be 1, 3 or 5", n)
+	}
+	return fs
+}
+
+func (cfg *Config) fillDefaults() {
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = defaultHeartbeat
+	}
+	if cfg.Election == 0 {
+		cfg.Election = electionHeartbeats * cfg.Heartbeat
+	}
+	if cfg.SnapshotEvery == 0 {
+		cfg.SnapshotEvery = defaultSnapshotEvery
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+}
+
+// Node runs a core over a storage, a state machine and a transport.
 type Node struct {
-	mu  sync.Mutex
-	cfg Config
-	st  Status
+	cfg     Config
+	core    *Core
+	inbox   chan Message
+	calls   chan call
+	applier *applier
+	sender  *sender
+	// stopped is closed when Run ends.
+	stopped chan struct{}
+	running atomic.Bool
+	status  atomic.Pointer[Status]
+
+	mu      sync.Mutex
+	waiters map[uint64][]waiter
+	// watchers wait for a state of the core; only the loop uses them.
+	watchers []watcher
+	role     string
+}
+
+// call runs in the loop that owns the core.
+type call func(now time.Time)
+
+// waiter waits for the entry of a proposal to be applied.
+type waiter struct {
+	term uint64
+	done chan error
+}
+
+// watcher waits until a condition on the core holds or fails.
+type watcher struct {
+	done  chan error
+	check func(now time.Time) (done bool, err error)
 }
 
 var _ keel.Handler = (*Node)(nil)
 
-// New returns a node that is ready to run. It reads the storage.
+// New returns a node that is ready to run. It reads the storage and restores
+// the state machine. Settings with faults give [keel.Faults].
 func New(cfg Config) (*Node, error) {
-	if len(cfg.Bootstrap) != 1 || cfg.Bootstrap[0] != cfg.Self {
-		return nil, errors.New("sets of more than one voter are not built yet")
+	cfg.fillDefaults()
+	if err := cfg.Check().Err(); err != nil {
+		return nil, err
 	}
 	st, err := cfg.Storage.Load()
 	if err != nil {
 		return nil, errors.Wrap(err, "load storage")
 	}
-	n := &Node{cfg: cfg}
-	if st.Snapshot.Index > 0 {
-		if err := cfg.Machine.Restore(st.Snapshot.Index, bytes.NewReader(st.Snapshot.Data)); err != nil {
-			return nil, errors.Wrap(err, "restore state machine")
-		}
-	}
-	n.st = Status{
-		Self: cfg.Self, Incarnation: st.Vote.Incarnation, Role: "leader", Term: st.Vote.Term + 1,
-		Leader: cfg.Self, Last: st.Snapshot.Index, Commit: st.Snapshot.Index, Applied: st.Snapshot.Index,
-		Snapshot: st.Snapshot.Index, LeaseValid: true,
-		Voters: []keel.Voter{{Name: cfg.Self, Incarnation: st.Vote.Incarnation}},
+	n := &Node{
+		cfg:     cfg,
+		inbox:   make(chan Message, inboxSize),
+		calls:   make(chan call),
+		stopped: make(chan struct{}),
+		waiters: map[uint64][]waiter{},
+		sender:  newSender(cfg),
 	}
-	for _, e := range st.Entries {
-		n.apply(e)
+	n.applier = newApplier(n)
+	if err := n.applier.restore(st.Snapshot); err != nil {
+		return nil, err
 	}
-	return n, cfg.Storage.SaveVote(keel.StoredVote{Term: n.st.Term, For: cfg.Self})
+	now := time.Now()
+	n.core = NewCore(CoreConfig{
+		Self: cfg.Self, Stored: st, Bootstrap: cfg.Bootstrap, Now: now, Seed: cfg.Seed,
+		Heartbeat: cfg.Heartbeat, Election: cfg.Election, Tail: uint64(cfg.SnapshotEvery),
+	})
+	n.publish(now, nil)
+	return n, nil
 }
 
-func (n *Node) apply(e keel.LogEntry) {
-	n.st.Last, n.st.Commit, n.st.Applied = e.Index, e.Index, e.Index
-	if e.Type == keel.EntryCommand {
-		n.cfg.Machine.Apply(e.Index, e.Data)
+// Run runs the node until ctx ends. After a failed write or sync the node takes
+// no further part in votes and agreement, says so in its status, and goes on to
+// wait for ctx; the same process must not use the storage again.
+func (n *Node) Run(ctx context.Context) error {
+	if !n.running.CompareAndSwap(false, true) {
+		return errors.New("node runs already")
+	}
+	defer close(n.stopped)
+	ctx, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	wg.Go(func() { n.applier.run(ctx) })
+	n.sender.start(ctx, &wg)
+	err := n.loop(ctx)
+	if err != nil {
+		n.stepAside(ctx, err)
+	}
+	cancel()
+	wg.Wait()
+	n.failWaiters()
+	if err := n.cfg.Storage.Close(); err != nil {
+		return errors.Wrap(err, "close storage")
 	}
+	return nil
 }
 
-// Run runs the node until ctx ends or the storage fails.
-func (n *Node) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return n.cfg.Storage.Close()
+// loop owns the core. It returns an error when the storage or the state machine
+// has failed.
+func (n *Node) loop(ctx context.Context) error {
+	ticker := time.NewTicker(n.cfg.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-n.applier.failed:
+			return err
+		case m := <-n.inbox:
+			n.core.Step(time.Now(), m)
+		case f := <-n.calls:
+			f(time.Now())
+		case <-ticker.C:
+		}
+		n.drain()
+		now := time.Now()
+		n.core.Tick(now)
+		err := n.flush()
+		n.watch(now)
+		n.publish(now, err)
+		if err != nil {
+			return err
+		}
+	}
 }
 
-// Propose appends data to the log and returns its index once it is committed
-// and applied here. After [*NotLeaderError], [ErrStopped] and [ErrTooLarge]
-// nothing was proposed; [ErrUnknownOutcome] says that it may be committed.
-func (n *Node) Propose(_ context.Context, data []byte) (uint64, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(data) > MaxEntrySize {
-		return 0, ErrTooLarge
+// drain takes what else is waiting, so that one sync serves all of it.
+func (n *Node) drain() {
+	for range maxInputs {
+		select {
+		case m := <-n.inbox:
+			n.core.Step(time.Now(), m)
+		case f := <-n.calls:
+			f(time.Now())
+		default:
+			return
+		}
 	}
-	e := keel.LogEntry{Index: n.st.Last + 1, Term: n.st.Term, Type: keel.EntryCommand, Data: data}
-	if err := n.cfg.Storage.Append([]keel.LogEntry{e}); err != nil {
-		n.st.StorageFailure = err.Error()
-		return 0, errors.Wrap(ErrUnknownOutcome, err.Error())
+}
+
+// flush carries out the core's actions until there are none.
+func (n *Node) flush() error {
+	for {
+		a := n.core.Take()
+		if a.Empty() {
+			return nil
+		}
+		n.sender.send(a.Early)
+		if err := n.store(&a); err != nil {
+			return err
+		}
+		n.core.Stored(time.Now())
+		n.sender.send(a.Late)
+		n.applier.add(&a)
 	}
-	n.apply(e)
-	return e.Index, nil
 }
 
-// ReadIndex returns once this instance has proved that it leads and has applied
-// everything that was committed before the call.
-func (n *Node) ReadIndex(context.Context) error { return nil }
+func (n *Node) store(a *Actions) error {
+	if a.Vote != nil {
+		if err := n.cfg.Storage.SaveVote(*a.Vote); err != nil {
+			return errors.Wrap(err, "store vote")
+		}
+	}
+	if a.Snapshot != nil {
+		if err := n.cfg.Storage.SaveSnapshot(*a.Snapshot); err != nil {
+			return errors.Wrap(err, "store snapshot")
+		}
+	}
+	if len(a.Append) == 0 {
+		return nil
+	}
+	if err := n.cfg.Storage.Append(a.Append); err != nil {
+		return errors.Wrap(err, "store entries")
+	}
+	return nil
+}
 
-// Status returns the state of the node.
-func (n *Node) Status() Status {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.st
+// stepAside keeps a node with a failed storage out of the agreement: it answers
+// no message and accepts nothing.
+func (n *Node) stepAside(ctx context.Context, err error) {
+	n.cfg.Log.WithError(err).Error("voter stepped aside, its storage or state machine failed")
+	n.publish(time.Now(), err)
+	n.failWaiters()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.inbox:
+		case f := <-n.calls:
+			f(time.Time{})
+		}
+	}
 }
 
-// HandleMessage takes a message of [keel.KindQuorum].
-func (n *Node) HandleMessage(context.Context, keel.Envelope) (keel.Envelope, error) {
-	return keel.Envelope{}, nil
+// watch completes the watchers whose condition is decided.
+func (n *Node) watch(now time.Time) {
+	kept := n.watchers[:0]
+	for _, w := range n.watchers {
+		done, err := w.check(now)
+		if !done {
+			kept = append(kept, w)
+			continue
+		}
+		w.done <- err
+	}
+	clear(n.watchers[len(kept):])
+	n.watchers = kept
 }
 
-// AddVoter makes an instance a learner and, once it holds everything that is
-// committed, a voter. It returns when that is committed.
-func (n *Node) AddVoter(context.Context, keel.InstanceName) error { return ErrChangePending }
+func (n *Node) publish(now time.Time, err error) {
+	st := n.core.Status(now)
+	if err != nil {
+		st.Role, st.Leader, st.LeaseValid = string(RoleFollower), "", false
+		st.leaseUntil = time.Time{}
+		st.StorageFailure = err.Error()
+	}
+	n.status.Store(&st)
+	if st.Role != n.role && (st.Role == string(RoleLeader) || n.role == string(RoleLeader)) {
+		n.cfg.Log.WithFields(logrus.Fields{"term": st.Term, "role": st.Role}).Info("leadership changed")
+	}
+	n.role = st.Role
+}
 
-// RemoveVoter removes an instance from the voters and returns when that is
-// committed.
-func (n *Node) RemoveVoter(context.Context, keel.InstanceName) error { return ErrChangePending }
+// Status returns the state of the node. The lease is that of the present time.
+func (n *Node) Status() Status {
+	st := *n.status.Load()
+	st.Applied = n.applier.applied.Load()
+	st.LeaseValid = st.LeaseValid && time.Now().Before(st.leaseUntil)
+	return st
+}
 
-// HandOver passes the leadership to the voter that holds the most and returns
-// when this instance leads no more. It is called at a planned stop; on an
-// instance that does not lead it returns at once.
-func (n *Node) HandOver(context.Context) error { return nil }
+// HandleMessage takes a message of [keel.KindQuorum]. It does not wait until it
+// is worked off.
+func (n *Node) HandleMessage(_ context.Context, e keel.Envelope) (keel.Envelope, error) {
+	var m Message
+	if err := keel.DecodeCBOR(e.Body, &m); err != nil {
+		return keel.Envelope{}, err
+	}
+	m.From, m.To = e.From, n.cfg.Self
+	select {
+	case n.inbox <- m:
+	default:
+	}
+	return keel.Envelope{}, nil
+}
--- /dev/null
+++ b/keelquorum/node_test.go
@@ -0,0 +1,230 @@
+package keelquorum_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelquorum"
+	"github.com/greengagekeel/greengagekeel/keelstore"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+)
+
+const testLimit = 60 * time.Second
+
+// memoryNet carries messages between the nodes of one process.
+type memoryNet struct {
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*keelquorum.Node
+}
+
+func (n *memoryNet) Send(ctx context.Context, to netip.AddrPort, e keel.Envelope) error {
+	n.mu.Lock()
+	node := n.nodes[to]
+	n.mu.Unlock()
+	if node == nil {
+		return errors.New("instance is down")
+	}
+	_, err := node.HandleMessage(ctx, e)
+	return err
+}
+
+func (n *memoryNet) Call(context.Context, netip.AddrPort, keel.Envelope) (keel.Envelope, error) {
+	return keel.Envelope{}, errors.New("not used")
+}
+
+func (n *memoryNet) Open(context.Context, netip.AddrPort, keel.Envelope) (keel.Stream, error) {
+	return nil, errors.New("not used")
+}
+
+func (n *memoryNet) set(addr netip.AddrPort, node *keelquorum.Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr] = node
+}
+
+// listMachine keeps the applied commands.
+type listMachine struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (m *listMachine) Apply(_ uint64, entry []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = append(m.list, string(entry))
+}
+
+func (m *listMachine) Snapshot(w io.Writer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return json.NewEncoder(w).Encode(m.list)
+}
+
+func (m *listMachine) Restore(_ uint64, r io.Reader) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = nil
+	return json.NewDecoder(r).Decode(&m.list)
+}
+
+func (m *listMachine) text() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprint(m.list)
+}
+
+// group runs nodes that share a memoryNet.
+type group struct {
+	t     testing.TB
+	ctx   context.Context
+	net   *memoryNet
+	names []keel.InstanceName
+	heart time.Duration
+	disks map[keel.InstanceName]keel.Storage
+	nodes map[keel.InstanceName]*keelquorum.Node
+	lists map[keel.InstanceName]*listMachine
+	stops map[keel.InstanceName]func()
+}
+
+func newGroup(t testing.TB, heart time.Duration, names ...keel.InstanceName) *group {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	g := &group{
+		t: t, ctx: ctx, heart: heart, names: names, net: &memoryNet{nodes: map[netip.AddrPort]*keelquorum.Node{}},
+		disks: map[keel.InstanceName]keel.Storage{}, nodes: map[keel.InstanceName]*keelquorum.Node{},
+		lists: map[keel.InstanceName]*listMachine{}, stops: map[keel.InstanceName]func(){},
+	}
+	t.Cleanup(func() {
+		for _, stop := range g.stops {
+			stop()
+		}
+		cancel()
+	})
+	return g
+}
+
+func address(name keel.InstanceName) (netip.AddrPort, bool) {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name[0])), true
+}
+
+func (g *group) start(name keel.InstanceName, bootstrap []keel.InstanceName) *keelquorum.Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if g.disks[name] == nil {
+		g.disks[name] = keelstore.NewMemory()
+	}
+	g.lists[name] = &listMachine{}
+	n, err := keelquorum.New(keelquorum.Config{
+		Self: name, Storage: g.disks[name], Machine: g.lists[name], Transport: g.net, Resolve: address,
+		Bootstrap: bootstrap, Log: logrus.NewEntry(log), Seed: 1, Heartbeat: g.heart, SnapshotEvery: 20,
+	})
+	is.New(g.t).NoErr(err)
+	addr, _ := address(name)
+	g.net.set(addr, n)
+	ctx, cancel := context.WithCancel(g.ctx)
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = n.Run(ctx) })
+	g.nodes[name] = n
+	g.stops[name] = func() {
+		g.net.set(addr, nil)
+		cancel()
+		wg.Wait()
+	}
+	return n
+}
+
+// lead returns the present leader as seen by name.
+func (g *group) lead(name keel.InstanceName) *keelquorum.Node {
+	leader, err := g.nodes[name].AwaitLeader(g.ctx)
+	is.New(g.t).NoErr(err)
+	return g.nodes[leader]
+}
+
+// propose proposes through the leader that name sees until one accepts.
+func (g *group) propose(name keel.InstanceName, data string) {
+	for {
+		_, err := g.lead(name).Propose(g.ctx, []byte(data))
+		if err == nil {
+			return
+		}
+		if notLeader := (*keelquorum.NotLeaderError)(nil); !errors.As(err, &notLeader) {
+			g.t.Fatalf("propose %q: %v", data, err)
+		}
+	}
+}
+
+func TestNode(t *testing.T) {
+	for _, names := range [][]keel.InstanceName{{"a"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		t.Run(fmt.Sprintf("%d voters", len(names)), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := newGroup(t, 30*time.Millisecond, names...)
+			for _, name := range names {
+				g.start(name, names)
+			}
+			want := []string{}
+			add := func(k int) {
+				for range k {
+					want = append(want, fmt.Sprint(len(want)))
+					g.propose("a", want[len(want)-1])
+				}
+			}
+			add(30)
+			is.NoErr(g.lead("a").HandOver(g.ctx))
+			add(30)
+			is.NoErr(g.lead("a").ReadIndex(g.ctx))
+			for _, name := range names {
+				g.stops[name]()
+			}
+			for _, name := range names {
+				g.start(name, names)
+			}
+			add(1)
+			st := g.lead("a").Status()
+			is.Equal(g.lists[st.Self].text(), fmt.Sprint(want))
+			is.Equal(len(st.Voters), len(names))
+			is.True(st.Snapshot > 0) // the log was cut
+		})
+	}
+}
+
+// A third voter joins by snapshot, the leader's storage fails, and what was
+// accepted is still there.
+func TestNodeJoinAndStorageFailure(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 30*time.Millisecond, "a", "b", "c")
+	g.start("a", []keel.InstanceName{"a"})
+	for i := range 50 {
+		g.propose("a", fmt.Sprint(i))
+	}
+	g.start("b", nil)
+	g.start("c", nil)
+	is.NoErr(g.nodes["a"].AddVoter(g.ctx, "b"))
+	is.NoErr(g.nodes["a"].AddVoter(g.ctx, "c"))
+	is.True(errors.Is(g.nodes["a"].RemoveVoter(g.ctx, "a"), keelquorum.ErrLeaderRemoval))
+	g.disks["a"].(*keelstore.Memory).FailSync(1, 0)
+	_, err := g.nodes["a"].Propose(g.ctx, []byte("last"))
+	is.True(errors.Is(err, keelquorum.ErrUnknownOutcome))
+	_, err = g.nodes["a"].Propose(g.ctx, []byte("none"))
+	notLeader := (*keelquorum.NotLeaderError)(nil)
+	is.True(errors.As(err, &notLeader))
+	is.True(g.nodes["a"].Status().StorageFailure != "")
+	for g.lead("b") == g.nodes["a"] || g.lead("b").ReadIndex(g.ctx) != nil {
+		is.NoErr(g.ctx.Err())
+	}
+	l := g.lead("b")
+	is.True(bytes.HasPrefix([]byte(g.lists[l.Status().Self].text()), []byte("[0 1 2 3")))
+	is.NoErr(l.RemoveVoter(g.ctx, "a"))
+	is.Equal(len(l.Status().Voters), 2)
+}
--- /dev/null
+++ b/keelquorum/propose.go
@@ -0,0 +1,245 @@
+package keelquorum
+
+import (
+	"context"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/go-faster/errors"
+)
+
+// Propose appends data to the log and returns its index once it is committed
+// and applied here. After [*NotLeaderError], [ErrStopped] and [ErrTooLarge]
+// nothing was proposed, nor after an error of ctx alone. [ErrUnknownOutcome]
+// says that it may be committed, now or later.
+func (n *Node) Propose(ctx context.Context, data []byte) (uint64, error) {
+	if len(data) > MaxEntrySize {
+		return 0, errors.Wrapf(ErrTooLarge, "entry has %d bytes, the limit is %d", len(data), MaxEntrySize)
+	}
+	var index uint64
+	done := make(chan error, 1)
+	err := n.do(ctx, func(now time.Time) error {
+		i, term, err := n.core.Propose(now, data)
+		if err != nil {
+			return err
+		}
+		index = i
+		n.addWaiter(i, waiter{term, done})
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return index, n.await(ctx, done, ErrUnknownOutcome)
+}
+
+// ReadIndex returns once this instance has proved by its lease that it leads,
+// and has applied everything that was committed before the call.
+func (n *Node) ReadIndex(ctx context.Context) error {
+	var index uint64
+	err := n.do(ctx, func(now time.Time) error {
+		i, err := n.core.ReadIndex(now)
+		index = i
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	n.addWaiter(index, waiter{0, done})
+	return n.await(ctx, done, ErrStopped)
+}
+
+// AddVoter makes an instance a learner and, once it holds everything that is
+// committed, a voter. It returns when that is committed. After
+// [ErrUnknownOutcome] it may still happen.
+func (n *Node) AddVoter(ctx context.Context, name keel.InstanceName) error {
+	return n.change(ctx, func(now time.Time) error { return n.core.AddVoter(now, name) }, func() bool {
+		v, ok := n.core.Voter(name)
+		return ok && !v.Learner
+	})
+}
+
+// RemoveVoter removes an instance from the voters and returns when that is
+// committed. The leader refuses to remove itself with [ErrLeaderRemoval].
+func (n *Node) RemoveVoter(ctx context.Context, name keel.InstanceName) error {
+	return n.change(ctx, func(now time.Time) error { return n.core.RemoveVoter(now, name) }, func() bool {
+		_, ok := n.core.Voter(name)
+		return !ok
+	})
+}
+
+// change starts a change of the voters and waits until it is committed or this
+// instance leads no more.
+func (n *Node) change(ctx context.Context, start func(time.Time) error, committed func() bool) error {
+	done := make(chan error, 1)
+	err := n.do(ctx, func(now time.Time) error {
+		if err := start(now); err != nil {
+			return err
+		}
+		term := n.core.term
+		n.watchers = append(n.watchers, watcher{done, func(time.Time) (bool, error) {
+			if committed() {
+				return true, nil
+			}
+			if !n.core.isLeader() || n.core.term != term {
+				return true, ErrUnknownOutcome
+			}
+			return false, nil
+		}})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return n.await(ctx, done, ErrUnknownOutcome)
+}
+
+// HandOver passes the leadership to the voter that holds the most and returns
+// when this instance leads no more. It is called at a planned stop. It returns
+// at once if this instance does not lead or no other voter can.
+func (n *Node) HandOver(ctx context.Context) error {
+	done := make(chan error, 1)
+	err := n.do(ctx, func(now time.Time) error {
+		if !n.core.HandOver(now) {
+			done <- nil
+			return nil
+		}
+		n.watchers = append(n.watchers, watcher{done, func(time.Time) (bool, error) {
+			return !n.core.isLeader(), nil
+		}})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return n.await(ctx, done, ErrStopped)
+}
+
+// AwaitLeader returns the instance that leads once one is known here; if it is
+// this instance, once that holds the lease.
+func (n *Node) AwaitLeader(ctx context.Context) (keel.InstanceName, error) {
+	done := make(chan error, 1)
+	var leader keel.InstanceName
+	err := n.do(ctx, func(time.Time) error {
+		n.watchers = append(n.watchers, watcher{done, func(now time.Time) (bool, error) {
+			leader = n.core.leader
+			if leader == n.cfg.Self {
+				return n.core.established() && now.Before(n.core.leaseUntil()), nil
+			}
+			return leader != "", nil
+		}})
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	if err := n.await(ctx, done, ErrStopped); err != nil {
+		return "", err
+	}
+	return leader, nil
+}
+
+// do runs f in the loop that owns the core and returns its error.
+func (n *Node) do(ctx context.Context, f func(now time.Time) error) error {
+	done := make(chan error, 1)
+	c := func(now time.Time) {
+		if now.IsZero() {
+			done <- &NotLeaderError{}
+			return
+		}
+		done <- f(now)
+	}
+	select {
+	case n.calls <- c:
+		return <-done
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for the node")
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+// await waits for the end of what was started; late is the error if that is not
+// seen before ctx or the node ends.
+func (n *Node) await(ctx context.Context, done <-chan error, late error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(late, ctx.Err().Error())
+	case <-n.stopped:
+	}
+	select {
+	case err := <-done:
+		return err
+	default:
+		return late
+	}
+}
+
+// addWaiter registers w for the entry at index, or completes it at once if that
+// is applied.
+func (n *Node) addWaiter(index uint64, w waiter) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w.term == 0 && n.applier.applied.Load() >= index {
+		w.done <- nil
+		return
+	}
+	n.waiters[index] = append(n.waiters[index], w)
+}
+
+// entryApplied completes the waiters of an entry. A proposal whose place was
+// taken by an entry of another term is lost and can't come back.
+func (n *Node) entryApplied(index, term uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applier.applied.Store(index)
+	for _, w := range n.waiters[index] {
+		if w.term != 0 && w.term != term {
+			w.done <- &NotLeaderError{}
+			continue
+		}
+		w.done <- nil
+	}
+	delete(n.waiters, index)
+}
+
+// snapshotRestored completes the waiters up to index. Which proposals are in a
+// snapshot can't be told.
+func (n *Node) snapshotRestored(index uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.applier.applied.Store(index)
+	for i, ws := range n.waiters {
+		if i > index {
+			continue
+		}
+		for _, w := range ws {
+			if w.term == 0 {
+				w.done <- nil
+				continue
+			}
+			w.done <- ErrUnknownOutcome
+		}
+		delete(n.waiters, i)
+	}
+}
+
+// failWaiters tells every waiter that its outcome will not be seen here.
+func (n *Node) failWaiters() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, ws := range n.waiters {
+		for _, w := range ws {
+			w.done <- ErrUnknownOutcome
+		}
+		delete(n.waiters, i)
+	}
+	for _, w := range n.watchers {
+		w.done <- ErrUnknownOutcome
+	}
+	n.watchers = nil
+}
--- a/keelquorum/status.go
+++ b/keelquorum/status.go
@@ -1,6 +1,10 @@
 package keelquorum
 
-import keel "github.com/greengagekeel/greengagekeel"
+import (
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
 
 // Status is the state of a node, for the state dump.
 type Status struct {
@@ -23,4 +27,6 @@
 	HandingOver bool `json:"handing_over,omitempty"`
 	// StorageFailure is the error after which the instance left the voting.
 	StorageFailure string `json:"storage_failure,omitempty"`
+
+	leaseUntil time.Time
 }
