--- /dev/null
+++ b/keelkey/ephemeral.go
@@ -0,0 +1,38 @@
+package keelkey
+
+import (
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Ephemeral makes an authority and the keys of several instances in memory. It
+// is meant for demonstrations and tests.
+func Ephemeral(names ...keel.InstanceName) (map[keel.InstanceName]*Keys, error) {
+	authority, err := NewAuthority(AuthorityConfig{Name: "ephemeral authority"})
+	if err != nil {
+		return nil, err
+	}
+	root, err := authority.Pair()
+	if err != nil {
+		return nil, err
+	}
+	secret, token := randomText(secretBytes), randomText(operatorTokenBytes)
+	all := make(map[keel.InstanceName]*Keys, len(names))
+	for _, name := range names {
+		pair, err := authority.Issue(IssueConfig{Instance: name})
+		if err != nil {
+			return nil, err
+		}
+		k := newKeys(Config{Instance: name})
+		if err := k.use(fileSet{
+			authorities: root.Certificate,
+			certificate: pair.Certificate,
+			privateKey:  pair.PrivateKey,
+			secret:      secret,
+			token:       token,
+		}); err != nil {
+			return nil, err
+		}
+		all[name] = k
+	}
+	return all, nil
+}
--- /dev/null
+++ b/keelkey/keys.go
@@ -0,0 +1,157 @@
+package keelkey
+
+import (
+	"fmt"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// DefaultPollInterval is how often a folder of keys is read again.
+	DefaultPollInterval = 5 * time.Second
+	// expiryWarning is how long before the end of its validity an instance's
+	// certificate is logged about.
+	expiryWarning = 14 * 24 * time.Hour
+)
+
+// Config says which keys to load.
+type Config struct {
+	Dir      string
+	Instance keel.InstanceName
+	// PollInterval is how often [Keys.Run] looks for changed files; zero means
+	// [DefaultPollInterval].
+	PollInterval time.Duration
+	// Log gets refused certificates and failed reloads; nil means the standard
+	// logger.
+	Log logrus.FieldLogger
+	// Clock is the time that validity is checked against; nil means the real
+	// time.
+	Clock clockwork.Clock
+}
+
+// Keys are the keys of one instance. It is safe for use by several goroutines.
+type Keys struct {
+	cfg     Config
+	current atomic.Pointer[keySet]
+	refused refusalLog
+}
+
+// keySet is what one reading of the folder gave.
+type keySet struct {
+	files       fileSet
+	certificate tls.Certificate
+	authorities *x509.CertPool
+	secret      []byte
+	token       string
+}
+
+// Load reads the keys of an instance. It fails if a file is missing or
+// malformed, if the certificate is for another instance, was issued by another
+// authority, or is not valid now.
+func Load(cfg Config) (*Keys, error) {
+	k := newKeys(cfg)
+	if err := k.reload(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+func newKeys(cfg Config) *Keys {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	cfg.PollInterval = orDefault(cfg.PollInterval, DefaultPollInterval)
+	return &Keys{cfg: cfg, refused: refusalLog{log: cfg.Log, clock: cfg.Clock}}
+}
+
+// Instance returns the name that the keys belong to.
+func (k *Keys) Instance() keel.InstanceName { return k.cfg.Instance }
+
+// Secret returns the random bytes that all instances share, for signing what
+// only they may issue. The caller must not change them.
+func (k *Keys) Secret() []byte { return k.current.Load().secret }
+
+// OperatorToken returns the token that operators prove themselves by.
+func (k *Keys) OperatorToken() string { return k.current.Load().token }
+
+// NotAfter returns the end of the certificate's validity.
+func (k *Keys) NotAfter() time.Time { return k.current.Load().certificate.Leaf.NotAfter }
+
+// Run reads the folder again whenever a file in it has changed, until ctx ends.
+// A folder with faults is logged, and the keys read last stay in use.
+func (k *Keys) Run(ctx context.Context) error {
+	ticker := k.cfg.Clock.NewTicker(k.cfg.PollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			k.poll()
+		}
+	}
+}
+
+func (k *Keys) poll() {
+	if k.cfg.Dir == "" {
+		return
+	}
+	files, err := readFiles(k.cfg.Dir, k.cfg.Instance)
+	if err == nil && files.equal(k.current.Load().files) {
+		k.warnExpiry()
+		return
+	}
+	if err == nil {
+		err = k.use(files)
+	}
+	if err != nil {
+		k.refused.warn("keys not reloaded, the old ones stay in use", fmt.Sprintf("%T", err), err)
+		return
+	}
+	k.cfg.Log.WithFields(logrus.Fields{
+		"instance":  k.cfg.Instance,
+		"not_after": k.NotAfter(),
+	}).Info("keys reloaded")
+}
+
+func (k *Keys) warnExpiry() {
+	if left := k.NotAfter().Sub(k.cfg.Clock.Now()); left < expiryWarning {
+		k.refused.warn("certificate of this instance ends soon", "", errors.Errorf("not valid after %s", k.NotAfter().Format(time.RFC3339)))
+	}
+}
+
+func (k *Keys) reload() error {
+	files, err := readFiles(k.cfg.Dir, k.cfg.Instance)
+	if err != nil {
+		return err
+	}
+	return k.use(files)
+}
+
+// use puts a set of files in use if it has no faults.
+func (k *Keys) use(files fileSet) error {
+	set, err := files.parse()
+	if err != nil {
+		return err
+	}
+	leaf := set.certificate.Leaf
+	if leaf.Subject.CommonName != string(k.cfg.Instance) {
+		return errors.Errorf("certificate is for instance %q, not for %q", leaf.Subject.CommonName, k.cfg.Instance)
+	}
+	if err := verifyChain(leaf, set.authorities, k.cfg.Clock.Now()); err != nil {
+		return errors.Wrapf(err, "certificate of instance %q", k.cfg.Instance)
+	}
+	k.current.Store(set)
+	return nil
+}
--- /dev/null
+++ b/keelkey/verify.go
@@ -0,0 +1,130 @@
+package keelkey
+
+import (
+	"fmt"
+	"crypto/tls"
+	"crypto/x509"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+)
+
+// ServerTLS returns the settings of the accepting side of a connection. They
+// read the current keys at each handshake.
+func (k *Keys) ServerTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &k.current.Load().certificate, nil
+		},
+		VerifyConnection:       k.verify,
+		SessionTicketsDisabled: true,
+	}
+}
+
+// ClientTLS returns the settings of the opening side of a connection. They
+// read the current keys at each handshake. The other side's certificate is
+// checked against the authorities and, if it names addresses, against the
+// address that was dialled.
+func (k *Keys) ClientTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// Instances are dialled by address; VerifyConnection checks the chain.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &k.current.Load().certificate, nil
+		},
+		VerifyConnection: k.verifyDialled,
+	}
+}
+
+func (k *Keys) verifyDialled(cs tls.ConnectionState) error {
+	if err := k.verify(cs); err != nil {
+		return err
+	}
+	leaf := cs.PeerCertificates[0]
+	if len(leaf.IPAddresses) == 0 || cs.ServerName == "" {
+		return nil
+	}
+	if err := leaf.VerifyHostname(cs.ServerName); err != nil {
+		return k.refuse(leaf, err)
+	}
+	return nil
+}
+
+func (k *Keys) verify(cs tls.ConnectionState) error {
+	if len(cs.PeerCertificates) == 0 {
+		return k.refuse(&x509.Certificate{}, errors.New("the other side sent no certificate"))
+	}
+	leaf := cs.PeerCertificates[0]
+	if err := keel.CheckName("common name", leaf.Subject.CommonName).Err(); err != nil {
+		return k.refuse(leaf, err)
+	}
+	if err := verifyChain(leaf, k.current.Load().authorities, k.cfg.Clock.Now()); err != nil {
+		return k.refuse(leaf, err)
+	}
+	return nil
+}
+
+func (k *Keys) refuse(leaf *x509.Certificate, cause error) error {
+	err := errors.Wrapf(cause, "certificate of %q refused", leaf.Subject.CommonName)
+	k.refused.warn("peer refused", fmt.Sprintf("%s %T", leaf.Subject.CommonName, cause), err)
+	return err
+}
+
+func verifyChain(leaf *x509.Certificate, authorities *x509.CertPool, now time.Time) error {
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:       authorities,
+		CurrentTime: now,
+		KeyUsages:   []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	return err
+}
+
+// PeerName returns the instance name in the certificate of the other side.
+func PeerName(cs tls.ConnectionState) keel.InstanceName {
+	if len(cs.PeerCertificates) == 0 {
+		return ""
+	}
+	return keel.InstanceName(cs.PeerCertificates[0].Subject.CommonName)
+}
+
+const (
+	// refusalLogInterval is how often the same cause is logged at most.
+	refusalLogInterval = time.Minute
+	maxRefusalCauses   = 256
+)
+
+// refusalLog logs each cause at most once in an interval.
+type refusalLog struct {
+	log   logrus.FieldLogger
+	clock clockwork.Clock
+	mu    sync.Mutex
+	last  map[string]time.Time
+}
+
+// warn logs a cause. The key names the cause without what changes each time.
+func (l *refusalLog) warn(message, key string, cause error) {
+	if l.due(message+key, l.clock.Now()) {
+		l.log.WithError(cause).Warn(message)
+	}
+}
+
+func (l *refusalLog) due(key string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, seen := l.last[key]
+	if seen && now.Sub(last) < refusalLogInterval {
+		return false
+	}
+	if l.last == nil || len(l.last) >= maxRefusalCauses {
+		l.last = map[string]time.Time{}
+	}
+	l.last[key] = now
+	return true
+}
