keelpeer: messages and streams over QUIC and in memory

Messages and calls share one connection to a peer and opened streams share another, since flow control is per connection and a stalled transfer would otherwise hold up calls.

--- /dev/null
+++ b/keelpeer/memory.go
@@ -0,0 +1,313 @@
+package keelpeer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+)
+
+// HubConfig says how to make a [MemoryHub].
+type HubConfig struct {
+	// Seed starts the sequence of random numbers that decides on losses.
+	Seed uint64
+	// Clock is the time that delays are measured in; nil means the real time.
+	Clock clockwork.Clock
+	// Log gets panics of handlers; nil means the standard logger.
+	Log logrus.FieldLogger
+}
+
+// MemoryHub connects transports in memory. Faults are set per direction.
+type MemoryHub struct {
+	clock clockwork.Clock
+	log   logrus.FieldLogger
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	members map[netip.AddrPort]*MemoryTransport
+	routes  map[route]*routeState
+}
+
+// route is one direction between two addresses.
+type route struct{ from, to netip.AddrPort }
+
+// routeState holds the faults of one direction.
+type routeState struct {
+	delay time.Duration
+	loss  float64
+	cut   bool
+	// healed is closed when the cut ends.
+	healed chan struct{}
+}
+
+// NewMemoryHub returns a hub without members.
+func NewMemoryHub(cfg HubConfig) *MemoryHub {
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	return &MemoryHub{
+		clock:   cfg.Clock,
+		log:     cfg.Log,
+		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		members: map[netip.AddrPort]*MemoryTransport{},
+		routes:  map[route]*routeState{},
+	}
+}
+
+// Join returns the transport of a new member.
+func (h *MemoryHub) Join(name keel.InstanceName, addr netip.AddrPort) *MemoryTransport {
+	t := &MemoryTransport{handlers: newHandlers(nil, nil, h.log), hub: h, name: name, addr: addr}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members[addr] = t
+	return t
+}
+
+// Cut drops everything between a and b, in both directions, without an error.
+func (h *MemoryHub) Cut(a, b netip.AddrPort) {
+	h.CutOneWay(a, b)
+	h.CutOneWay(b, a)
+}
+
+// CutOneWay drops everything from one address to another without an error.
+func (h *MemoryHub) CutOneWay(from, to netip.AddrPort) {
+	h.change(from, to, func(s *routeState) {
+		if !s.cut {
+			s.cut, s.healed = true, make(chan struct{})
+		}
+	})
+}
+
+// Heal ends the cuts between a and b in both directions.
+func (h *MemoryHub) Heal(a, b netip.AddrPort) {
+	for _, r := range []route{{a, b}, {b, a}} {
+		h.change(r.from, r.to, func(s *routeState) {
+			if s.cut {
+				s.cut = false
+				close(s.healed)
+			}
+		})
+	}
+}
+
+// SetDelay delays what goes from one address to another.
+func (h *MemoryHub) SetDelay(from, to netip.AddrPort, d time.Duration) {
+	h.change(from, to, func(s *routeState) { s.delay = d })
+}
+
+// SetLoss drops messages from one address to another with a probability from 0
+// to 1.
+func (h *MemoryHub) SetLoss(from, to netip.AddrPort, probability float64) {
+	h.change(from, to, func(s *routeState) { s.loss = probability })
+}
+
+func (h *MemoryHub) change(from, to netip.AddrPort, edit func(*routeState)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := route{from, to}
+	if h.routes[r] == nil {
+		h.routes[r] = &routeState{}
+	}
+	edit(h.routes[r])
+}
+
+// passage is the fate of one message.
+type passage struct {
+	member *MemoryTransport
+	delay  time.Duration
+	lost   bool
+	// healed is not nil if the route is cut.
+	healed chan struct{}
+}
+
+func (h *MemoryHub) passage(from, to netip.AddrPort) passage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := passage{member: h.members[to]}
+	s := h.routes[route{from, to}]
+	if s == nil {
+		return p
+	}
+	p.delay = s.delay
+	p.lost = s.loss > 0 && h.random.Float64() < s.loss
+	if s.cut {
+		p.lost, p.healed = true, s.healed
+	}
+	return p
+}
+
+// MemoryTransport is one member of a [MemoryHub]. It implements
+// [keel.Transport].
+type MemoryTransport struct {
+	*handlers
+	hub    *MemoryHub
+	name   keel.InstanceName
+	addr   netip.AddrPort
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	closed bool
+	group  conc.WaitGroup
+}
+
+var _ keel.Transport = (*MemoryTransport)(nil)
+
+// Addr returns the address of the member.
+func (t *MemoryTransport) Addr() netip.AddrPort { return t.addr }
+
+// Run waits for the end of ctx, then leaves the hub and waits for the member's
+// handlers.
+func (t *MemoryTransport) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	t.hub.leave(t)
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.cancel()
+	t.group.Wait()
+	return nil
+}
+
+// Close stops the member; Run then returns.
+func (t *MemoryTransport) Close() { t.cancel() }
+
+func (h *MemoryHub) leave(t *MemoryTransport) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.members[t.addr] == t {
+		delete(h.members, t.addr)
+	}
+}
+
+func (t *MemoryTransport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.group.Go(f)
+	return true
+}
+
+// Send implements [keel.Transport].
+func (t *MemoryTransport) Send(_ context.Context, to netip.AddrPort, e keel.Envelope) error {
+	if t.ctx.Err() != nil {
+		return ErrClosed
+	}
+	p := t.hub.passage(t.addr, to)
+	if p.lost || p.member == nil {
+		return nil
+	}
+	p.member.start(func() { p.member.runMessage(p.delay, t.sealed(e)) })
+	return nil
+}
+
+func (t *MemoryTransport) sealed(e keel.Envelope) keel.Envelope {
+	e.From = t.name
+	e.Body = append([]byte(nil), e.Body...)
+	return e
+}
+
+func (t *MemoryTransport) runMessage(delay time.Duration, e keel.Envelope) {
+	if t.wait(t.ctx, delay) {
+		_, _ = t.handle(t.ctx, e)
+	}
+}
+
+func (t *MemoryTransport) wait(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.hub.clock.After(delay):
+		return true
+	}
+}
+
+// memoryResult is the end of a call.
+type memoryResult struct {
+	envelope keel.Envelope
+	err      error
+}
+
+// Call implements [keel.Transport] with the errors of [Transport.Call].
+func (t *MemoryTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
+	p := t.hub.passage(t.addr, to)
+	if err := t.reach(ctx, to, p); err != nil {
+		return keel.Envelope{}, err
+	}
+	answers := make(chan memoryResult, 1)
+	callCtx, stop := joinContext(p.member.ctx, ctx)
+	defer stop()
+	if !p.member.start(func() { p.member.runCall(callCtx, p.delay, t.addr, t.sealed(e), answers) }) {
+		return keel.Envelope{}, unreachable(to, ErrClosed)
+	}
+	select {
+	case r := <-answers:
+		return r.envelope, r.err
+	case <-callCtx.Done():
+		return keel.Envelope{}, errors.Wrapf(errors.Join(ErrOutcomeUnknown, callCtx.Err()), "call %s", to)
+	}
+}
+
+// reach waits while the way to a member is cut, as long as ctx allows.
+func (t *MemoryTransport) reach(ctx context.Context, to netip.AddrPort, p passage) error {
+	switch {
+	case t.ctx.Err() != nil:
+		return ErrClosed
+	case p.lost:
+		<-ctx.Done()
+		return unreachable(to, ctx.Err())
+	case p.member == nil:
+		return unreachable(to, errors.New("no such member"))
+	default:
+		return nil
+	}
+}
+
+func (t *MemoryTransport) runCall(ctx context.Context, delay time.Duration, from netip.AddrPort, e keel.Envelope, answers chan<- memoryResult) {
+	if !t.wait(ctx, delay) {
+		return
+	}
+	answer, err := t.handle(ctx, e)
+	if errors.Is(err, errPanicked) {
+		answers <- memoryResult{err: ErrOutcomeUnknown}
+		return
+	}
+	back := t.hub.passage(t.addr, from)
+	if back.lost || !t.wait(ctx, back.delay) {
+		return
+	}
+	answer, err = newReply(answer, err).result()
+	if err == nil {
+		answer = t.sealed(answer)
+	}
+	answers <- memoryResult{answer, err}
+}
+
+// joinContext returns a context that ends with either of two.
+func joinContext(a, b context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(a)
+	stop := context.AfterFunc(b, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/keelpeer/quic.go
@@ -0,0 +1,70 @@
+package keelpeer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/tls"
+	"net"
+
+	"github.com/quic-go/quic-go"
+)
+
+// class says what a connection is for. It is agreed as the application protocol
+// of TLS.
+type class string
+
+const (
+	classMessages class = "keel-messages/1"
+	classStreams  class = "keel-streams/1"
+)
+
+// Codes with which connections and streams are closed.
+const (
+	codeClosing   quic.ApplicationErrorCode = 1
+	codeRetired   quic.ApplicationErrorCode = 2
+	codeProtocol  quic.ApplicationErrorCode = 3
+	codeCancelled quic.StreamErrorCode      = 1
+	codeRefused   quic.StreamErrorCode      = 2
+)
+
+func (t *Transport) newQUIC(socket *net.UDPConn) *quic.Transport {
+	return &quic.Transport{
+		Conn:              newFilteredConn(socket, t.filter),
+		StatelessResetKey: t.resetKey(),
+	}
+}
+
+// resetKey returns the same key after a restart, so that peers learn at once
+// that the connections of the former process are gone.
+func (t *Transport) resetKey() *quic.StatelessResetKey {
+	mac := hmac.New(sha256.New, t.cfg.Keys.Secret())
+	mac.Write([]byte("stateless reset " + string(t.cfg.Keys.Instance())))
+	return (*quic.StatelessResetKey)(mac.Sum(nil))
+}
+
+func (t *Transport) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		KeepAlivePeriod:                keepAlivePeriod,
+		InitialStreamReceiveWindow:     streamWindowBytes,
+		MaxStreamReceiveWindow:         maxStreamWindowBytes,
+		InitialConnectionReceiveWindow: connWindowBytes,
+		MaxConnectionReceiveWindow:     maxConnWindowBytes,
+		MaxIncomingStreams:             t.cfg.MaxStreams,
+		MaxIncomingUniStreams:          t.cfg.MaxStreams,
+		EnableDatagrams:                true,
+	}
+}
+
+func (t *Transport) serverTLS() *tls.Config {
+	cfg := t.cfg.Keys.ServerTLS()
+	cfg.NextProtos = []string{string(classMessages), string(classStreams)}
+	return cfg
+}
+
+func (t *Transport) clientTLS(c class) *tls.Config {
+	cfg := t.cfg.Keys.ClientTLS()
+	cfg.NextProtos = []string{string(c)}
+	return cfg
+}
--- /dev/null
+++ b/keelpeer/transport.go
@@ -0,0 +1,182 @@
+package keelpeer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelkey"
+	"github.com/jonboulle/clockwork"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+)
+
+// Config says how to make a [Transport].
+type Config struct {
+	// Listen is the address of the UDP socket; port 0 takes a free port.
+	Listen netip.AddrPort
+	Keys   *keelkey.Keys
+	// Handlers holds the handlers of messages by kind. More can be added by
+	// Register.
+	Handlers map[keel.MessageKind]keel.Handler
+	// Streams takes opened streams; nil refuses them.
+	Streams keel.StreamHandler
+	// Log gets lost connections; nil means the standard logger.
+	Log logrus.FieldLogger
+	// Clock is the time for all but QUIC itself; nil means the real time.
+	Clock clockwork.Clock
+	// MaxMessageBytes is the size limit of a message or an answer; 0 means
+	// [DefaultMaxMessageBytes].
+	MaxMessageBytes int64
+	// MaxStreams bounds the streams that a peer may have open on a connection;
+	// 0 means [DefaultMaxStreams].
+	MaxStreams int64
+	// Filter says whether packets to and from an address pass; nil passes all.
+	Filter func(netip.AddrPort) bool
+}
+
+// Defaults and limits of the transport.
+const (
+	DefaultMaxMessageBytes = 4 << 20
+	DefaultMaxStreams      = 4096
+
+	idleTimeout      = 10 * time.Second
+	keepAlivePeriod  = 4 * time.Second
+	handshakeTimeout = 3 * time.Second
+
+	// datagramBytes is the size up to which a message goes as a datagram.
+	datagramBytes = 1000
+
+	streamWindowBytes     = 512 << 10
+	maxStreamWindowBytes  = 2 << 20
+	connWindowBytes       = 1 << 20
+	maxConnWindowBytes    = 8 << 20
+	maxPendingMessages    = 64
+	maxConcurrentMessages = 512
+)
+
+// Transport carries messages over QUIC. It implements [keel.Transport].
+type Transport struct {
+	*handlers
+	cfg    Config
+	filter *filter
+	socket *net.UDPConn
+	quic   *quic.Transport
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	slots  chan struct{}
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[poolKey]*peer
+	group  conc.WaitGroup
+}
+
+var _ keel.Transport = (*Transport)(nil)
+
+// New opens the socket. Messages are taken once [Transport.Run] runs.
+func New(cfg Config) (*Transport, error) {
+	if cfg.Keys == nil {
+		return nil, errors.New("transport needs keys")
+	}
+	cfg = withDefaults(cfg)
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Listen)
+	}
+	t := &Transport{
+		handlers: newHandlers(cfg.Handlers, cfg.Streams, cfg.Log),
+		cfg:      cfg,
+		filter:   newFilter(cfg.Filter),
+		socket:   socket,
+		slots:    make(chan struct{}, maxConcurrentMessages),
+		peers:    map[poolKey]*peer{},
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.quic = t.newQUIC(socket)
+	return t, nil
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	if cfg.MaxMessageBytes == 0 {
+		cfg.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	if cfg.MaxStreams == 0 {
+		cfg.MaxStreams = DefaultMaxStreams
+	}
+	return cfg
+}
+
+// Addr returns the address of the socket.
+func (t *Transport) Addr() netip.AddrPort {
+	return unmapped(t.socket.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// Block drops every packet to and from the given addresses from now on.
+func (t *Transport) Block(addrs ...netip.AddrPort) { t.filter.block(addrs) }
+
+// Unblock ends the effect of [Transport.Block] for the given addresses, or for
+// all if none is given.
+func (t *Transport) Unblock(addrs ...netip.AddrPort) { t.filter.unblock(addrs) }
+
+// Run takes connections until ctx ends. It then closes every connection and
+// returns once all handlers have returned.
+func (t *Transport) Run(ctx context.Context) error {
+	listener, err := t.quic.Listen(t.serverTLS(), t.quicConfig())
+	if err != nil {
+		t.stop()
+		return errors.Wrap(err, "accept connections")
+	}
+	t.start(func() { t.loopAccept(listener) })
+	select {
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	t.stop()
+	return nil
+}
+
+// Close stops the transport; Run then returns.
+func (t *Transport) Close() { t.cancel() }
+
+func (t *Transport) stop() {
+	t.mu.Lock()
+	t.closed = true
+	peers := t.peers
+	t.peers = map[poolKey]*peer{}
+	t.mu.Unlock()
+	for _, p := range peers {
+		p.close()
+	}
+	t.cancel()
+	t.group.Wait()
+	_ = t.quic.Close()
+	_ = t.socket.Close()
+}
+
+// start runs f in the transport's group, unless the transport is closed.
+func (t *Transport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.group.Go(f)
+	return true
+}
+
+func unmapped(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
