--- a/keelkey/keys.go
+++ b/keelkey/keys.go
@@ -1,10 +1,10 @@
 package keelkey
 
 import (
-	"fmt"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"sync/atomic"
 	"time"
 
--- a/keelkey/verify.go
+++ b/keelkey/verify.go
@@ -1,9 +1,9 @@
 package keelkey
 
 import (
-	"fmt"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"sync"
 	"time"
 
