--- /dev/null
+++ b/keeldeclare/changelog.go
@@ -0,0 +1,177 @@
+package keeldeclare
+
+import (
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Limits on what is kept of past changes.
+const (
+	defaultLogBytes   = 4 << 20
+	defaultLogRecords = 10_000
+)
+
+// record is one step from a version to a later one. A copy that fetched
+// several changes at once has them in one record.
+type record struct {
+	From     keel.Version  `cbor:"1,keyasint"`
+	To       keel.Version  `cbor:"2,keyasint"`
+	Checksum uint64        `cbor:"3,keyasint"` // of the state at To
+	ID       keel.ChangeID `cbor:"4,keyasint,omitempty"`
+	Author   string        `cbor:"5,keyasint,omitempty"`
+	Time     time.Time     `cbor:"6,keyasint,omitzero"`
+	// Ops is the CBOR of the operations. Packed, they take a small part of
+	// the memory that they take as values.
+	Ops   []byte `cbor:"7,keyasint"`
+	Count int    `cbor:"8,keyasint"`
+}
+
+// opList makes a list of operations a [keel.Checker]. Operations of a record
+// were checked before they were accepted.
+type opList []keel.Op
+
+// Check reports operations whose parts don't fit together.
+func (l opList) Check() keel.Faults {
+	var fs keel.Faults
+	for i := range l {
+		fs.Under(opField(i), l[i].Check())
+	}
+	return fs
+}
+
+func (r *record) ops() (opList, error) {
+	var l opList
+	err := keel.DecodeCBOR(r.Ops, &l)
+	return l, err
+}
+
+// changeLog keeps the last records, bounded by their count and size.
+type changeLog struct {
+	records    []record
+	bytes      int
+	maxBytes   int
+	maxRecords int
+}
+
+func newChangeLog(maxBytes, maxRecords int) changeLog {
+	if maxBytes <= 0 {
+		maxBytes = defaultLogBytes
+	}
+	if maxRecords <= 0 {
+		maxRecords = defaultLogRecords
+	}
+	return changeLog{maxBytes: maxBytes, maxRecords: maxRecords}
+}
+
+// add appends a record that follows the last one, and drops old ones. The last
+// record is kept whatever its size.
+func (l *changeLog) add(r record) {
+	l.records = append(l.records, r)
+	l.bytes += len(r.Ops)
+	drop := 0
+	for len(l.records)-drop > 1 && (l.bytes > l.maxBytes || len(l.records)-drop > l.maxRecords) {
+		l.bytes -= len(l.records[drop].Ops)
+		drop++
+	}
+	l.records = l.records[drop:] // not in place, since copies of l share the array
+}
+
+func (l *changeLog) reset(records []record) {
+	l.records = nil
+	l.bytes = 0
+	for _, r := range records {
+		l.add(r)
+	}
+}
+
+// find returns the position of the record that leads on from version v.
+func (l *changeLog) find(v keel.Version) (int, bool) {
+	i, _ := slices.BinarySearchFunc(l.records, v, func(r record, v keel.Version) int {
+		if r.To <= v {
+			return -1
+		}
+		return 1
+	})
+	if i == len(l.records) || l.records[i].From > v {
+		return 0, false
+	}
+	return i, true
+}
+
+// Delta is the operations that lead from one version to a later one. Applied to
+// any state between the two they give the same result, since only the last
+// operation on each name is left.
+type Delta struct {
+	From keel.Version `json:"from" cbor:"1,keyasint"`
+	To   keel.Version `json:"to" cbor:"2,keyasint"`
+	// Checksum is that of the state at To.
+	Checksum uint64    `json:"checksum" cbor:"3,keyasint"`
+	Ops      []keel.Op `json:"ops" cbor:"4,keyasint"`
+	// Skip is how many operations of the delta went before these in other
+	// parts; More says that others follow.
+	Skip int  `json:"skip,omitempty" cbor:"5,keyasint,omitempty"`
+	More bool `json:"more,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// Check reports versions in the wrong order and malformed operations.
+func (d *Delta) Check() keel.Faults {
+	var fs keel.Faults
+	if d.From >= d.To {
+		fs.Add("to", "is %d, must be above from, which is %d", d.To, d.From)
+	}
+	if d.Skip < 0 {
+		fs.Add("skip", "is %d, must not be negative", d.Skip)
+	}
+	return append(fs, opList(d.Ops).Check()...)
+}
+
+// delta returns the delta from v on, up to about maxBytes long but at least one
+// record; 0 means no bound.
+func (l *changeLog) delta(v keel.Version, maxBytes int) (Delta, bool) {
+	first, ok := l.find(v)
+	if !ok {
+		return Delta{}, false
+	}
+	d := Delta{From: v}
+	size := 0
+	for i := first; i < len(l.records); i++ {
+		r := &l.records[i]
+		size += len(r.Ops)
+		if i > first && maxBytes > 0 && size > maxBytes {
+			break
+		}
+		ops, err := r.ops()
+		if err != nil {
+			return Delta{}, false
+		}
+		d.Ops = append(d.Ops, ops...)
+		d.To, d.Checksum = r.To, r.Checksum
+	}
+	d.Ops = lastOps(d.Ops)
+	return d, true
+}
+
+type opKey struct {
+	kind keel.Kind
+	name string
+}
+
+// lastOps keeps the last operation on each name.
+func lastOps(ops []keel.Op) []keel.Op {
+	last := make(map[opKey]int, len(ops))
+	for i, o := range ops {
+		last[opKey{o.Kind, o.Name}] = i
+	}
+	if len(last) == len(ops) {
+		return ops
+	}
+	out := make([]keel.Op, 0, len(last))
+	for i, o := range ops {
+		if last[opKey{o.Kind, o.Name}] == i {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/keeldeclare/statefile.go
@@ -0,0 +1,106 @@
+package keeldeclare
+
+import (
+	"io"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+const (
+	// stateFormat is the number of the state's format.
+	stateFormat = 1
+	// statePartBytes is the size of the parts that blocks are written in.
+	statePartBytes = 64 << 10
+)
+
+// stateHeader is the first value of a written state. Parts of blocks follow it
+// until Blocks of them were read.
+type stateHeader struct {
+	Format       int                `cbor:"1,keyasint"`
+	Version      keel.Version       `cbor:"2,keyasint"`
+	Checksum     uint64             `cbor:"3,keyasint"`
+	Declarations *keel.Declarations `cbor:"4,keyasint"`
+	Blocks       int                `cbor:"5,keyasint"`
+	Records      []record           `cbor:"6,keyasint,omitempty"`
+	Outcomes     []keel.Outcome     `cbor:"7,keyasint,omitempty"`
+	Applied      uint64             `cbor:"8,keyasint,omitempty"`
+	Ignored      uint64             `cbor:"9,keyasint,omitempty"`
+}
+
+// Check reports an unknown format and records that don't follow each other.
+func (h *stateHeader) Check() keel.Faults {
+	var fs keel.Faults
+	if h.Format != stateFormat {
+		fs.Add("format", "is %d, this program reads %d", h.Format, stateFormat)
+	}
+	if h.Declarations == nil {
+		fs.Add("declarations", "must be given")
+	}
+	for i := range h.Records {
+		r := &h.Records[i]
+		if r.From >= r.To || i > 0 && h.Records[i-1].To != r.From {
+			fs.Add("records", "don't follow each other at version %d", r.From)
+		}
+		if _, err := r.ops(); err != nil {
+			fs.Add("records", "can't be decoded at version %d: %v", r.From, err)
+		}
+	}
+	if n := len(h.Records); n > 0 && h.Records[n-1].To != h.Version {
+		fs.Add("records", "end at version %d, the state's is %d", h.Records[n-1].To, h.Version)
+	}
+	return fs
+}
+
+// writeState writes s with what h holds besides.
+func writeState(w io.Writer, h stateHeader, s *Snapshot) error {
+	h.Format = stateFormat
+	h.Version, h.Checksum = s.Version, s.Checksum
+	h.Declarations = s.Declarations
+	h.Blocks = s.Blocks.Len()
+	cw := keel.NewCBORWriter(w)
+	if err := cw.Write(&h); err != nil {
+		return err
+	}
+	var after netip.Prefix
+	for done := h.Blocks == 0; !done; {
+		var p BlockPart
+		p, after, done = s.Blocks.part(after, statePartBytes)
+		if err := cw.Write(&p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readState reads what writeState wrote and verifies its checksum.
+func readState(r io.Reader) (*stateHeader, *Snapshot, error) {
+	cr := keel.NewCBORReader(r)
+	h := &stateHeader{}
+	if err := cr.Read(h); err != nil {
+		return nil, nil, errors.Wrap(err, "header of the state")
+	}
+	b := newBlockBuilder()
+	for n := 0; n < h.Blocks; {
+		var p BlockPart
+		if err := cr.Read(&p); err != nil {
+			return nil, nil, errors.Wrapf(err, "blocks after the first %d", n)
+		}
+		if p.Count == 0 {
+			return nil, nil, errors.Errorf("state has %d blocks, its header says %d", n, h.Blocks)
+		}
+		if err := b.add(&p); err != nil {
+			return nil, nil, errors.Wrapf(err, "blocks after the first %d", n)
+		}
+		n += p.Count
+	}
+	s, err := newSnapshot(h.Version, h.Declarations, b.done())
+	if err != nil {
+		return nil, nil, err
+	}
+	if s.Checksum != h.Checksum {
+		return nil, nil, errors.Errorf("checksum of version %d is %x, should be %x", s.Version, s.Checksum, h.Checksum)
+	}
+	return h, s, nil
+}
--- /dev/null
+++ b/keelmember/digest.go
@@ -0,0 +1,123 @@
+package keelmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// makeDigest sums up the own failure domain.
+func (c *Core) makeDigest() *Digest {
+	g := c.briefDigest()
+	g.Brief = false
+	for _, name := range c.representatives() {
+		g.Representatives = append(g.Representatives, Contact{Name: name, Peer: c.peerOf(name)})
+	}
+	live := c.liveMembers()
+	g.Live = len(live)
+	g.setVersions(live)
+	g.Instances = chooseInstances(live)
+	g.Room = sumRooms(live)
+	return g
+}
+
+// liveMembers returns the live instances of the own domain, with this one.
+func (c *Core) liveMembers() []Member {
+	live := []Member{c.selfMember()}
+	for _, name := range c.memberNames() {
+		m := c.members[name]
+		if m.live() || m.state() == StateSuspect || m.state() == StateLeaving {
+			live = append(live, m.view())
+		}
+	}
+	return live
+}
+
+func (g *Digest) setVersions(live []Member) {
+	g.Lowest, g.Highest = live[0].Version, live[0].Version
+	for _, m := range live {
+		g.Lowest, g.Highest = min(g.Lowest, m.Version), max(g.Highest, m.Version)
+	}
+	var lags []Lag
+	for _, m := range live {
+		if m.Version < g.Highest {
+			lags = append(lags, Lag{Name: m.Instance.Name, Version: m.Version})
+		}
+	}
+	slices.SortFunc(lags, func(a, b Lag) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
+	g.Lagging = len(lags)
+	g.Lags = lags[:min(len(lags), maxLagging)]
+}
+
+// chooseInstances returns the instances that a digest names.
+func chooseInstances(live []Member) []DigestInstance {
+	chosen := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.State != StateAlive })
+	slices.SortFunc(chosen, func(a, b Member) int {
+		return cmp.Or(
+			compareBools(a.Instance.Voter, b.Instance.Voter),
+			compareBools(a.Registered, b.Registered),
+			cmp.Compare(freeSlots(b.Room), freeSlots(a.Room)),
+			cmp.Compare(a.Instance.Name, b.Instance.Name),
+		)
+	})
+	var out []DigestInstance
+	for _, m := range chosen[:min(len(chosen), maxDigestInstances)] {
+		out = append(out, DigestInstance{
+			Name: m.Instance.Name, Caller: m.Instance.Caller, Peer: m.Instance.Peer,
+			Voter: m.Instance.Voter, Room: m.Room,
+		})
+	}
+	return out
+}
+
+// compareBools orders true before false.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func freeSlots(rooms []ServiceRoom) int {
+	n := 0
+	for _, r := range rooms {
+		n += r.Free
+	}
+	return n
+}
+
+// sumRooms adds up the room of the instances per service. The delay is the mean
+// over the slots.
+func sumRooms(live []Member) []ServiceRoom {
+	sums := map[keel.ServiceName]*ServiceRoom{}
+	delays := map[keel.ServiceName]time.Duration{}
+	for _, m := range live {
+		for _, r := range m.Room {
+			s, ok := sums[r.Service]
+			if !ok {
+				s = &ServiceRoom{Service: r.Service}
+				sums[r.Service] = s
+			}
+			s.Slots += r.Slots
+			s.Free += r.Free
+			delays[r.Service] += r.QueueDelay.Std() * time.Duration(r.Slots)
+		}
+	}
+	out := make([]ServiceRoom, 0, len(sums))
+	for name, s := range sums {
+		if s.Slots > 0 {
+			s.QueueDelay = keel.Duration(delays[name] / time.Duration(s.Slots))
+		}
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b ServiceRoom) int { return cmp.Compare(a.Service, b.Service) })
+	return out[:min(len(out), maxRooms)]
+}
--- /dev/null
+++ b/keelmember/domain.go
@@ -0,0 +1,238 @@
+package keelmember
+
+import (
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// domain is what is known of another failure domain.
+type domain struct {
+	name     keel.DomainName
+	digest   Digest
+	made     time.Time
+	version  keel.Version
+	contacts []Contact
+	told     keel.Version // the version that this instance last told it
+}
+
+// maxDomains bounds the failure domains that are remembered.
+const maxDomains = 256
+
+func (d *domain) view() DomainView {
+	return DomainView{Domain: d.name, Digest: d.digest, Made: d.made, Version: d.version, Contacts: d.contacts}
+}
+
+func (c *Core) domainNames() []keel.DomainName {
+	names := make([]keel.DomainName, 0, len(c.domains))
+	for name := range c.domains {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// domain returns the record of another failure domain, or nil for the own one.
+func (c *Core) domain(name keel.DomainName) *domain {
+	if name == c.self.Domain {
+		return nil
+	}
+	d, ok := c.domains[name]
+	if !ok {
+		if len(c.domains) >= maxDomains {
+			return nil
+		}
+		d = &domain{name: name}
+		c.domains[name] = d
+		c.changed = true
+	}
+	return d
+}
+
+// addContacts puts contacts before those that were known.
+func (d *domain) addContacts(list []Contact) {
+	merged := slices.Clone(list)
+	for _, old := range d.contacts {
+		same := func(c Contact) bool { return c.Name == old.Name }
+		if len(merged) < maxContacts && !slices.ContainsFunc(merged, same) {
+			merged = append(merged, old)
+		}
+	}
+	d.contacts = merged
+}
+
+// storeDigest keeps a digest if it is later than the one that is there. It
+// reports whether it did.
+func (c *Core) storeDigest(g *Digest) bool {
+	d := c.domain(g.Domain)
+	if d == nil {
+		return false
+	}
+	d.version = max(d.version, g.Version, g.Highest)
+	c.noteBeacon(g.Beacon)
+	if g.Brief {
+		d.addContacts(d.contacts)
+		return false
+	}
+	made := c.now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
+	if !made.After(d.made) {
+		return false
+	}
+	d.digest, d.made = *g, made
+	d.addContacts(g.Representatives)
+	for i := range g.Instances {
+		c.noteVoter(g.Instances[i].Name, g.Instances[i].Voter)
+	}
+	return true
+}
+
+// takeDigest takes a digest that another instance sent.
+func (c *Core) takeDigest(from keel.InstanceName, g *Digest) {
+	if g.Domain == c.self.Domain {
+		return
+	}
+	direct := g.Sender.Name == from
+	if direct {
+		c.noticeVersion(g.Sender.Peer, g.Version, false)
+	}
+	if !c.storeDigest(g) {
+		return
+	}
+	c.relay(g, direct)
+}
+
+// relay has a digest passed on inside the own domain. One member is in charge
+// of each other domain, so that the work is spread evenly.
+func (c *Core) relay(g *Digest, direct bool) {
+	if last, ok := c.relayed[g.Domain]; ok && c.now.Sub(last) < c.digestPeriod()/2 {
+		return
+	}
+	if len(c.relayed) > maxDomains {
+		clear(c.relayed)
+	}
+	keeper := c.keeperOf(g.Domain)
+	if keeper == c.self.Name {
+		c.relayed[g.Domain] = c.now
+		c.pendingRelays = append(c.pendingRelays, g.Domain)
+		return
+	}
+	if direct {
+		c.relayed[g.Domain] = c.now
+		c.send(c.peerOf(keeper), keel.KindDigest, g)
+	}
+}
+
+// keeperOf returns the live member that passes on the digests of a domain.
+func (c *Core) keeperOf(d keel.DomainName) keel.InstanceName {
+	best := c.self.Name
+	var bestRank uint64
+	for _, name := range c.liveNames() {
+		if r := rank(string(d), string(name)); r >= bestRank {
+			best, bestRank = name, r
+		}
+	}
+	return best
+}
+
+// takeRelays returns the digests that the next heartbeats pass on.
+func (c *Core) takeRelays() []Digest {
+	var out []Digest
+	for _, name := range c.pendingRelays[:min(len(c.pendingRelays), maxRelayed)] {
+		d := c.domains[name]
+		g := d.digest
+		g.AgeMillis = max(0, c.now.Sub(d.made).Milliseconds())
+		out = append(out, g)
+	}
+	c.pendingRelays = c.pendingRelays[len(out):]
+	return out
+}
+
+// digestPeriod returns the time between two digests to one domain.
+func (c *Core) digestPeriod() time.Duration {
+	return max(minDigestPeriod, time.Duration(len(c.domains))*digestStep)
+}
+
+// digests sends the next digest if one is due and this instance is a
+// representative.
+func (c *Core) digests() {
+	if c.now.Before(c.nextDigest) {
+		return
+	}
+	names := c.domainNames()
+	c.nextDigest = c.now.Add(max(digestStep, c.digestPeriod()/time.Duration(max(1, len(names)))))
+	if len(names) == 0 || !c.isRepresentative() {
+		return
+	}
+	d := c.nextTarget(names)
+	own := slices.Index(c.representatives(), c.self.Name)
+	g := c.makeDigest()
+	c.sendTo(d, own+c.digestRound, g)
+}
+
+// nextTarget returns the domain whose turn it is. A domain that lags and was
+// not told the present version comes first.
+func (c *Core) nextTarget(names []keel.DomainName) *domain {
+	for i := range names {
+		d := c.domains[names[(c.digestCursor+i)%len(names)]]
+		if d.version < c.local.Version && d.told < c.local.Version && len(d.contacts) > 0 {
+			return d
+		}
+	}
+	if c.digestCursor >= len(names) {
+		c.digestCursor = 0
+		c.digestRound++
+	}
+	d := c.domains[names[c.digestCursor]]
+	c.digestCursor++
+	return d
+}
+
+// sendTo sends a digest to one of the representatives of d. Later rounds choose
+// others, so that a dead one does not cut the domains off.
+func (c *Core) sendTo(d *domain, choice int, g *Digest) {
+	if len(d.contacts) == 0 {
+		return
+	}
+	d.told = max(d.told, g.Version)
+	c.send(d.contacts[choice%len(d.contacts)].Peer, keel.KindDigest, g)
+}
+
+// pushVersion has a voter tell the representatives of other domains of a new
+// version. Voters share the domains.
+func (c *Core) pushVersion() {
+	if !c.self.Voter || c.local.Leaving {
+		return
+	}
+	g := c.briefDigest()
+	for _, name := range c.domainNames() {
+		if place := c.pushPlace(name); place < pushersPerDomain {
+			d := c.domains[name]
+			n := min(len(d.contacts), representatives)
+			if n > 0 {
+				d.told = max(d.told, g.Version)
+				c.send(d.contacts[place%n].Peer, keel.KindDigest, g)
+			}
+		}
+	}
+}
+
+// pushPlace returns how many voters come before this one in telling a domain.
+func (c *Core) pushPlace(name keel.DomainName) int {
+	own := rank(string(name), string(c.self.Name))
+	place := 0
+	for voter := range c.voters {
+		if voter != c.self.Name && rank(string(name), string(voter)) > own {
+			place++
+		}
+	}
+	return place
+}
+
+func (c *Core) briefDigest() *Digest {
+	return &Digest{
+		Domain: c.self.Domain, Region: c.self.Region,
+		Sender: Contact{Name: c.self.Name, Peer: c.self.Peer}, Version: c.local.Version,
+		Brief: true, Beacon: c.beacon,
+	}
+}
--- /dev/null
+++ b/keelmember/heartbeat.go
@@ -0,0 +1,189 @@
+package keelmember
+
+import (
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// beat sends a round of heartbeats if one is due.
+func (c *Core) beat() {
+	due := !c.now.Before(c.nextBeat)
+	push := c.pushDue && c.speaksFirst() && c.now.Sub(c.lastPush) >= pushGap
+	if !due && !push {
+		return
+	}
+	if due {
+		c.nextBeat = c.now.Add(c.jittered(heartbeatPeriod))
+	}
+	if push {
+		c.lastPush = c.now
+		c.pushVersion()
+	}
+	c.pushDue = c.pushDue && !push && !due
+	c.number++
+	c.raiseBeacon()
+	digests := c.takeRelays()
+	for _, name := range c.memberNames() {
+		c.beatTo(c.members[name], digests)
+	}
+}
+
+// speaksFirst reports whether others wait for this instance to tell of a new
+// version or that it leaves. The rest tell it with their next heartbeat.
+func (c *Core) speaksFirst() bool {
+	return c.self.Voter || c.local.Leaving || c.isRepresentative()
+}
+
+func (c *Core) beatTo(m *member, digests []Digest) {
+	if m.state() == StateDead && c.number%deadProbeEvery != 0 {
+		return
+	}
+	h := &Heartbeat{
+		Incarnation: c.self.Incarnation,
+		Number:      c.number,
+		Version:     c.local.Version,
+		Leaving:     c.local.Leaving,
+		Registered:  c.local.Registered,
+		Room:        c.local.Room,
+		HearsYou:    m.live() || m.state() == StateLeaving,
+		Beacon:      c.beacon,
+	}
+	if m.live() {
+		h.Digests = digests
+	}
+	if !m.hearsUs {
+		self := c.self
+		h.Instance = &self
+	}
+	c.send(m.inst.Peer, keel.KindHeartbeat, h)
+}
+
+// takeHeartbeat takes a heartbeat of another instance.
+func (c *Core) takeHeartbeat(from keel.InstanceName, h *Heartbeat) {
+	if h.Instance != nil && (h.Instance.Name != from || h.Instance.Domain != c.self.Domain) {
+		return
+	}
+	if from == c.self.Name {
+		c.meetNamesake(h)
+		return
+	}
+	m, ok := c.members[from]
+	switch {
+	case ok && h.Incarnation < m.inst.Incarnation:
+		c.tellNewer(h.Instance, m.inst.Incarnation)
+		return
+	case !ok || h.Incarnation > m.inst.Incarnation:
+		if h.Instance == nil {
+			return // it sends its addresses until it knows that it is heard
+		}
+		m = c.put(*h.Instance)
+	case h.Number <= m.number:
+		return // doubled or overtaken
+	}
+	c.heard(m, h)
+}
+
+// heard records a new heartbeat of a member.
+func (c *Core) heard(m *member, h *Heartbeat) {
+	m.number = h.Number
+	m.heard, m.listened = c.now, c.listen
+	m.version = max(m.version, h.Version)
+	m.room, m.registered, m.hearsUs = h.Room, h.Registered, h.HearsYou
+	c.joined = c.joined || h.HearsYou
+	e := eventHeard
+	if h.Leaving {
+		e = eventLeft
+	}
+	c.changed = m.fire(e) || c.changed
+	if h.Instance != nil {
+		m.inst = *h.Instance
+	}
+	c.noticeVersion(m.inst.Peer, h.Version, true)
+	c.noteVoter(m.inst.Name, m.inst.Voter)
+	c.noteBeacon(h.Beacon)
+	for i := range h.Digests {
+		c.storeDigest(&h.Digests[i])
+	}
+}
+
+// meetNamesake handles a heartbeat that carries this instance's own name.
+func (c *Core) meetNamesake(h *Heartbeat) {
+	if h.Incarnation > c.self.Incarnation {
+		c.newer(h.Incarnation)
+		return
+	}
+	if h.Incarnation < c.self.Incarnation {
+		c.tellNewer(h.Instance, c.self.Incarnation)
+	}
+}
+
+// newer handles the news that a higher incarnation of this instance's name is
+// known. One that has just started takes a higher number, since it is the
+// latest; one that others know already was replaced.
+func (c *Core) newer(incarnation uint64) {
+	if incarnation <= c.self.Incarnation {
+		return
+	}
+	if !c.joined {
+		c.self.Incarnation = incarnation + 1
+		c.number = 0
+	} else {
+		c.superseded = true
+	}
+	c.changed = true
+}
+
+// tellNewer tells an instance that a later incarnation of it is known.
+func (c *Core) tellNewer(old *keel.Instance, incarnation uint64) {
+	if old != nil {
+		c.send(old.Peer, keel.KindHello, &Hello{Instance: c.self, Answer: true, Newer: incarnation})
+	}
+}
+
+// voterSign is what is known of a voter.
+type voterSign struct {
+	beacon Beacon
+	heard  bool // a beacon came
+}
+
+// maxVoters bounds the voters that are remembered.
+const maxVoters = 16
+
+func (c *Core) noteVoter(name keel.InstanceName, voter bool) {
+	if _, ok := c.voters[name]; !ok && voter && len(c.voters) < maxVoters {
+		c.voters[name] = &voterSign{}
+	}
+}
+
+// raiseBeacon renews this instance's own beacon if it is a voter with a working
+// majority.
+func (c *Core) raiseBeacon() {
+	if !c.local.QuorumBacked {
+		return
+	}
+	n := uint64(1)
+	if s, ok := c.voters[c.self.Name]; ok {
+		n = s.beacon.Number + 1
+	}
+	c.noteBeacon(&Beacon{Voter: c.self.Name, Incarnation: c.self.Incarnation, Number: n})
+}
+
+// noteBeacon records a beacon if it is newer than the last one of its voter.
+// An old one that goes round proves nothing.
+func (c *Core) noteBeacon(b *Beacon) {
+	if b == nil {
+		return
+	}
+	c.noteVoter(b.Voter, true)
+	s, ok := c.voters[b.Voter]
+	if !ok {
+		return
+	}
+	newer := b.Incarnation > s.beacon.Incarnation ||
+		b.Incarnation == s.beacon.Incarnation && b.Number > s.beacon.Number
+	if !newer {
+		return
+	}
+	s.beacon, s.heard = *b, true
+	c.beacon = b
+	c.quorumHeard = c.now
+}
--- /dev/null
+++ b/keelmember/sim_test.go
@@ -0,0 +1,164 @@
+package keelmember_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelmember"
+)
+
+const (
+	second = time.Second
+	alive  = keelmember.StateAlive
+	hop    = time.Millisecond
+	step   = 50 * time.Millisecond
+)
+
+// start is when every simulated run begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sim runs cores against each other on simulated time.
+type sim struct {
+	nodes   []*node
+	now     time.Time
+	rand    *rand.Rand
+	queue   []message
+	drop    func(from, to *node) bool
+	doubled bool
+	late    time.Duration // longest extra delay of a message
+}
+
+type node struct {
+	core    *keelmember.Core
+	inst    keel.Instance
+	local   keelmember.Local
+	down    bool
+	notices []keelmember.VersionNotice
+	sent    int
+	bytes   int
+}
+
+type message struct {
+	due      time.Time
+	from, to *node
+	body     keel.Checker
+}
+
+func peerAddr(domain, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(domain), byte(i + 1)}), 7000)
+}
+
+func instance(domain, i int, incarnation uint64) keel.Instance {
+	return keel.Instance{
+		Name:        keel.InstanceName(fmt.Sprintf("d%02d-%02d", domain, i)),
+		Domain:      keel.DomainName(fmt.Sprintf("domain-%02d", domain)),
+		Region:      keel.RegionName(fmt.Sprintf("region-%d", domain/2)),
+		Caller:      netip.AddrPortFrom(peerAddr(domain, i).Addr(), 8000),
+		Peer:        peerAddr(domain, i),
+		Incarnation: incarnation,
+		Voter:       i == 0 && domain < 3,
+	}
+}
+
+// newSim makes domains of size instances each, which all join by the first
+// instance of the first two domains.
+func newSim(seed uint64, domains, size int) *sim {
+	s := &sim{now: start, rand: rand.New(rand.NewPCG(seed, 0))}
+	for d := range domains {
+		for i := range size {
+			s.add(instance(d, i, 1))
+		}
+	}
+	return s
+}
+
+func (s *sim) add(in keel.Instance) *node {
+	n := &node{inst: in}
+	n.core = keelmember.NewCore(keelmember.CoreConfig{
+		Self: in,
+		Join: []netip.AddrPort{peerAddr(0, 0), peerAddr(1, 0)},
+		Seed: s.rand.Uint64(),
+	}, s.now)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
+		s.deliver()
+		for _, n := range s.nodes {
+			if !n.down && !n.core.Next().After(s.now) {
+				s.act(n, n.core.Tick(s.now, n.local))
+			}
+		}
+	}
+}
+
+func (s *sim) deliver() {
+	var due []message
+	s.queue = slices.DeleteFunc(s.queue, func(m message) bool {
+		if m.due.After(s.now) {
+			return false
+		}
+		due = append(due, m)
+		return true
+	})
+	slices.SortStableFunc(due, func(a, b message) int { return cmp.Compare(a.due.UnixNano(), b.due.UnixNano()) })
+	for _, m := range due {
+		if !m.to.down {
+			s.act(m.to, m.to.core.Receive(s.now, m.from.inst.Name, m.body))
+		}
+	}
+}
+
+func (s *sim) act(n *node, out keelmember.Actions) {
+	n.notices = append(n.notices, out.Versions...)
+	for _, m := range out.Sends {
+		body, err := keel.EncodeCBOR(m.Body)
+		if err != nil {
+			panic(err)
+		}
+		n.sent++
+		n.bytes += len(body)
+		for _, to := range s.nodes {
+			if to.inst.Peer == m.To && !to.down {
+				s.post(n, to, body, m.Body)
+			}
+		}
+	}
+}
+
+// post sends a copy that went through the codec.
+func (s *sim) post(from, to *node, body []byte, sent keel.Checker) {
+	if s.drop != nil && s.drop(from, to) {
+		return
+	}
+	copies := 1
+	if s.doubled {
+		copies = 2
+	}
+	for range copies {
+		var got keel.Checker
+		switch sent.(type) {
+		case *keelmember.Heartbeat:
+			got = &keelmember.Heartbeat{}
+		case *keelmember.Digest:
+			got = &keelmember.Digest{}
+		default:
+			got = &keelmember.Hello{}
+		}
+		if err := keel.DecodeCBOR(body, got); err != nil {
+			panic(err)
+		}
+		extra := time.Duration(0)
+		if s.late > 0 {
+			extra = time.Duration(s.rand.Int64N(int64(s.late)))
+		}
+		s.queue = append(s.queue, message{due: s.now.Add(hop + extra), from: from, to: to, body: got})
+	}
+}
