--- a/keelkey/keys.go
+++ b/keelkey/keys.go
@@ -58,7 +58,7 @@
 // authority, or is not valid now.
 func Load(cfg Config) (*Keys, error) {
 	k := newKeys(cfg)
-	if err := k.reload(); err != nil {
+	if _, err := k.Reload(); err != nil {
 		return nil, err
 	}
 	return k, nil
@@ -104,25 +104,34 @@
 }
 
 func (k *Keys) poll() {
-	if k.cfg.Dir == "" {
-		return
-	}
-	files, err := readFiles(k.cfg.Dir, k.cfg.Instance)
-	if err == nil && files.equal(k.current.Load().files) {
+	changed, err := k.Reload()
+	switch {
+	case err != nil:
+		k.refused.warn("keys not reloaded, the old ones stay in use", fmt.Sprintf("%T", err), err)
+	case changed:
+		k.cfg.Log.WithFields(logrus.Fields{
+			"instance":  k.cfg.Instance,
+			"not_after": k.NotAfter(),
+		}).Info("keys reloaded")
+	default:
 		k.warnExpiry()
-		return
 	}
-	if err == nil {
-		err = k.use(files)
+}
+
+// Reload reads the folder now and says whether it had changed. After an error
+// the keys read last stay in use.
+func (k *Keys) Reload() (changed bool, err error) {
+	if k.cfg.Dir == "" {
+		return false, nil
 	}
+	files, err := readFiles(k.cfg.Dir, k.cfg.Instance)
 	if err != nil {
-		k.refused.warn("keys not reloaded, the old ones stay in use", fmt.Sprintf("%T", err), err)
-		return
+		return false, err
+	}
+	if set := k.current.Load(); set != nil && files.equal(set.files) {
+		return false, nil
 	}
-	k.cfg.Log.WithFields(logrus.Fields{
-		"instance":  k.cfg.Instance,
-		"not_after": k.NotAfter(),
-	}).Info("keys reloaded")
+	return true, k.use(files)
 }
 
 func (k *Keys) warnExpiry() {
@@ -131,14 +140,6 @@
 	}
 }
 
-func (k *Keys) reload() error {
-	files, err := readFiles(k.cfg.Dir, k.cfg.Instance)
-	if err != nil {
-		return err
-	}
-	return k.use(files)
-}
-
 // use puts a set of files in use if it has no faults.
 func (k *Keys) use(files fileSet) error {
 	set, err := files.parse()
--- a/keelkey/verify.go
+++ b/keelkey/verify.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -29,8 +30,7 @@
 
 // ClientTLS returns the settings of the opening side of a connection. They
 // read the current keys at each handshake. The other side's certificate is
-// checked against the authorities and, if it names addresses, against the
-// address that was dialled.
+// checked against the authorities, not against an address.
 func (k *Keys) ClientTLS() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -39,22 +39,28 @@
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			return &k.current.Load().certificate, nil
 		},
-		VerifyConnection: k.verifyDialled,
+		VerifyConnection: k.verify,
 	}
 }
 
-func (k *Keys) verifyDialled(cs tls.ConnectionState) error {
-	if err := k.verify(cs); err != nil {
-		return err
-	}
-	leaf := cs.PeerCertificates[0]
-	if len(leaf.IPAddresses) == 0 || cs.ServerName == "" {
+// ClientTLSFor is like [Keys.ClientTLS], but also refuses a certificate that
+// names addresses without addr among them.
+func (k *Keys) ClientTLSFor(addr netip.Addr) *tls.Config {
+	cfg := k.ClientTLS()
+	cfg.VerifyConnection = func(cs tls.ConnectionState) error {
+		if err := k.verify(cs); err != nil {
+			return err
+		}
+		leaf := cs.PeerCertificates[0]
+		if len(leaf.IPAddresses) == 0 {
+			return nil
+		}
+		if err := leaf.VerifyHostname(addr.Unmap().WithZone("").String()); err != nil {
+			return k.refuse(leaf, err)
+		}
 		return nil
 	}
-	if err := leaf.VerifyHostname(cs.ServerName); err != nil {
-		return k.refuse(leaf, err)
-	}
-	return nil
+	return cfg
 }
 
 func (k *Keys) verify(cs tls.ConnectionState) error {
--- a/keelpeer/peer.go
+++ b/keelpeer/peer.go
@@ -118,7 +118,7 @@
 
 func (p *peer) runDial(d *dial) {
 	t := p.transport
-	conn, err := t.quic.Dial(t.ctx, net.UDPAddrFromAddrPort(p.key.addr), t.clientTLS(p.key.class), t.quicConfig())
+	conn, err := t.quic.Dial(t.ctx, net.UDPAddrFromAddrPort(p.key.addr), t.clientTLS(p.key), t.quicConfig())
 	if err != nil {
 		d.err = unreachable(p.key.addr, err)
 	} else {
--- a/keelpeer/quic.go
+++ b/keelpeer/quic.go
@@ -63,8 +63,8 @@
 	return cfg
 }
 
-func (t *Transport) clientTLS(c class) *tls.Config {
-	cfg := t.cfg.Keys.ClientTLS()
-	cfg.NextProtos = []string{string(c)}
+func (t *Transport) clientTLS(key poolKey) *tls.Config {
+	cfg := t.cfg.Keys.ClientTLSFor(key.addr.Addr())
+	cfg.NextProtos = []string{string(key.class)}
 	return cfg
 }
