keelpeer: retire silent connections and replace them from another socket

A connection that leaves sent packets, or calls in flight, without a packet from the other side is probed, then doubted; a fresh one is then dialled from a socket of its own, since what lost track of the old one may know its port. If the fresh one works, the old one is closed and its calls end with an unknown outcome.

--- a/keelpeer/peer.go
+++ b/keelpeer/peer.go
@@ -8,8 +8,6 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
-	"github.com/greengagekeel/greengagekeel/keelkey"
-	"github.com/quic-go/quic-go"
 )
 
 // poolKey identifies a pool of connections.
@@ -27,13 +25,8 @@
 	links   []*link
 	dialing *dial
 	pending []keel.Envelope
-}
-
-// link is one connection.
-type link struct {
-	conn *quic.Conn
-	// name is the instance name in the other side's certificate.
-	name keel.InstanceName
+	// retired is set when a silent connection was closed.
+	retired bool
 }
 
 // dial is an attempt to open a connection.
@@ -43,8 +36,6 @@
 	err  error
 }
 
-func (l *link) alive() bool { return l.conn.Context().Err() == nil }
-
 // peer returns the pool for an address, or nil if the transport is closed.
 func (t *Transport) peer(key poolKey) *peer {
 	t.mu.Lock()
@@ -82,7 +73,7 @@
 	return errors.Wrapf(errors.Join(ErrUnreachable, cause), "connect to %s", to)
 }
 
-// get returns the newest live connection, or else the attempt to open one.
+// get returns the newest connection that works, or else the attempt to open one.
 func (p *peer) get() (*link, *dial) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,8 +85,8 @@
 
 func (p *peer) newest() *link {
 	for i := len(p.links) - 1; i >= 0; i-- {
-		if p.links[i].alive() {
-			return p.links[i]
+		if l := p.links[i]; l.alive() && l.watch.usable() {
+			return l
 		}
 	}
 	return nil
@@ -117,22 +108,47 @@
 }
 
 func (p *peer) runDial(d *dial) {
-	t := p.transport
-	conn, err := t.quic.Dial(t.ctx, net.UDPAddrFromAddrPort(p.key.addr), t.clientTLS(p.key), t.quicConfig())
-	if err != nil {
-		d.err = unreachable(p.key.addr, err)
-	} else {
-		d.link = newLink(conn)
-	}
+	d.link, d.err = p.open()
 	pending := p.dialled(d)
 	close(d.done)
 	if d.link == nil {
 		return
 	}
 	for _, e := range pending {
-		_ = t.sendOn(t.ctx, d.link, e)
+		_ = p.transport.sendOn(p.transport.ctx, d.link, e)
+	}
+	p.transport.runLink(p, d.link)
+}
+
+// open opens a connection. Beside connections that are in doubt it comes from a
+// socket of its own, since what lost track of them may know the old socket.
+func (p *peer) open() (*link, error) {
+	t := p.transport
+	from, release := t.quic, func() {}
+	if p.inDoubt() {
+		spare, err := t.newSpare()
+		if err != nil {
+			return nil, unreachable(p.key.addr, err)
+		}
+		from, release = spare.quic, spare.close
 	}
-	t.runLink(p, d.link)
+	conn, err := from.Dial(t.ctx, net.UDPAddrFromAddrPort(p.key.addr), t.clientTLS(p.key), t.quicConfig())
+	if err != nil {
+		release()
+		return nil, unreachable(p.key.addr, err)
+	}
+	return newLink(conn, t.cfg.Clock.Now(), release), nil
+}
+
+func (p *peer) inDoubt() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if l.alive() && !l.watch.usable() {
+			return true
+		}
+	}
+	return false
 }
 
 // dialled records the end of an attempt and returns the messages that waited
@@ -144,6 +160,7 @@
 	pending := p.pending
 	p.pending = nil
 	if d.link != nil {
+		p.retire(d.link)
 		p.links = append(p.links, d.link)
 	}
 	return pending
@@ -194,7 +211,3 @@
 		_ = l.conn.CloseWithError(codeClosing, "instance stops")
 	}
 }
-
-func newLink(conn *quic.Conn) *link {
-	return &link{conn: conn, name: keelkey.PeerName(conn.ConnectionState().TLS)}
-}
--- a/keelpeer/send.go
+++ b/keelpeer/send.go
@@ -72,6 +72,7 @@
 	if err != nil {
 		return keel.Envelope{}, err
 	}
+	defer l.begin()()
 	stopCancelling := context.AfterFunc(ctx, func() { cancelBoth(qs, codeCancelled) })
 	defer stopCancelling()
 	answer, err := t.exchange(qs, data)
--- a/keelpeer/serve.go
+++ b/keelpeer/serve.go
@@ -32,7 +32,7 @@
 		_ = conn.CloseWithError(codeClosing, "instance stops")
 		return
 	}
-	l := newLink(conn)
+	l := newLink(conn, t.cfg.Clock.Now(), func() {})
 	p.add(l)
 	t.runLink(p, l)
 }
@@ -51,6 +51,7 @@
 	}
 	group.Wait()
 	t.remove(p, l)
+	l.release()
 	t.log.WithError(context.Cause(l.conn.Context())).
 		WithField("peer", l.name).WithField("address", p.key.addr).
 		Debug("peer connection ended")
@@ -94,6 +95,9 @@
 // takeDatagram handles a message beside others, and drops it if too many are
 // being handled.
 func (t *Transport) takeDatagram(l *link, data []byte) {
+	if len(data) == 0 {
+		return
+	}
 	var e keel.Envelope
 	if err := keel.DecodeCBOR(data, &e); err != nil {
 		t.malformed(l, err)
@@ -139,6 +143,7 @@
 		t.malformed(l, err)
 		return
 	}
+	defer l.begin()()
 	e.From = l.name
 	answer, err := t.handle(qs.Context(), e)
 	if errors.Is(err, errPanicked) {
--- a/keelpeer/stream.go
+++ b/keelpeer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,8 @@
 	cancel      context.CancelCauseFunc
 	writeClosed atomic.Bool
 	readEnded   atomic.Bool
+	// complete frees what the stream holds of its connection.
+	complete func()
 }
 
 var _ keel.Stream = (*stream)(nil)
@@ -28,11 +31,27 @@
 
 func newStream(l *link, qs *quic.Stream) *stream {
 	s := &stream{qs: qs, reader: qs}
-	s.ctx, s.cancel = context.WithCancelCause(l.conn.Context())
+	connCtx := l.conn.Context()
+	s.ctx, s.cancel = context.WithCancelCause(context.WithoutCancel(connCtx))
+	stopWatching := context.AfterFunc(connCtx, func() { s.cancel(context.Cause(connCtx)) })
+	ended := l.begin()
+	s.complete = sync.OnceFunc(func() {
+		stopWatching()
+		ended()
+	})
 	context.AfterFunc(qs.Context(), s.writeSideEnded)
+	context.AfterFunc(s.ctx, s.complete)
 	return s
 }
 
+// completeIfDone frees what the stream holds once both directions have ended.
+// Its context stays as it is, since nothing failed.
+func (s *stream) completeIfDone() {
+	if s.readEnded.Load() && s.writeClosed.Load() {
+		s.complete()
+	}
+}
+
 // newOpenedStream returns a stream with e as its first value. If e can't be
 // written, the other side may still have seen it, so the stream that is
 // returned has ended.
@@ -66,6 +85,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		s.readEnded.Store(true)
+		s.completeIfDone()
 	case err != nil:
 		s.cancel(err)
 	}
@@ -84,6 +104,7 @@
 // CloseWrite implements [keel.Stream].
 func (s *stream) CloseWrite() error {
 	s.writeClosed.Store(true)
+	s.completeIfDone()
 	return s.qs.Close()
 }
 
--- a/keelpeer/transport.go
+++ b/keelpeer/transport.go
@@ -71,6 +71,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	slots  chan struct{}
+	// stopped is closed when the socket is.
+	stopped chan struct{}
 
 	mu     sync.Mutex
 	closed bool
@@ -96,6 +98,7 @@
 		filter:   newFilter(cfg.Filter),
 		socket:   socket,
 		slots:    make(chan struct{}, maxConcurrentMessages),
+		stopped:  make(chan struct{}),
 		peers:    map[poolKey]*peer{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
@@ -140,6 +143,7 @@
 		return errors.Wrap(err, "accept connections")
 	}
 	t.start(func() { t.loopAccept(listener) })
+	t.start(t.loopWatch)
 	select {
 	case <-ctx.Done():
 	case <-t.ctx.Done():
@@ -151,6 +155,9 @@
 // Close stops the transport; Run then returns.
 func (t *Transport) Close() { t.cancel() }
 
+// Wait returns once the transport has stopped and its socket is closed.
+func (t *Transport) Wait() { <-t.stopped }
+
 func (t *Transport) stop() {
 	t.mu.Lock()
 	t.closed = true
@@ -164,6 +171,7 @@
 	t.group.Wait()
 	_ = t.quic.Close()
 	_ = t.socket.Close()
+	close(t.stopped)
 }
 
 // start runs f in the transport's group, unless the transport is closed.
