--- a/keelclaim/ballot.go
+++ b/keelclaim/ballot.go
@@ -15,7 +15,8 @@
 	replies map[keel.InstanceName]ballotReply
 	fences  map[keel.InstanceName]uint64
 	// held says that another attempt has votes and may be running.
-	held       bool
+	held bool
+	// conflict says that a request with another body has an outcome.
 	conflict   bool
 	unknown    bool
 	ran        bool
@@ -27,6 +28,8 @@
 type ballotReply struct {
 	vote        VoteType
 	incarnation uint64
+	// rival says that the vote went to a request with another body.
+	rival bool
 }
 
 // voteMissing stands for a holder that could not be reached in time.
@@ -58,14 +61,18 @@
 }
 
 func (b *ballot) countHeld(from keel.InstanceName, v Vote) {
-	b.conflict = b.conflict || v.BodyHash != b.bodyHash
-	switch v.State {
-	case StateAnswered:
+	other := v.BodyHash != b.bodyHash && !v.Mixed
+	switch {
+	case settled(v.State) && other:
+		b.conflict = true
+	case v.State == StateAnswered:
 		b.answeredBy = append(b.answeredBy, from)
-	case StateRan:
+	case v.State == StateRan:
 		b.ran = true
-	case StateUnknown:
+	case v.State == StateUnknown:
 		b.unknown = true
+	case other:
+		b.replies[from] = ballotReply{vote: v.Type, rival: true}
 	default:
 		b.held = true
 		b.heldWait = max(b.heldWait, v.Wait.Std())
@@ -130,7 +137,11 @@
 
 // mayTell reports whether a holder that has not replied may know the outcome of
 // the attempt that holds the key.
-func (b *ballot) mayTell() bool { return b.held && b.open() }
+func (b *ballot) mayTell() bool {
+	return b.open() && (b.held || slices.ContainsFunc(members(b.sets), b.rivals))
+}
+
+func (b *ballot) rivals(name keel.InstanceName) bool { return b.replies[name].rival }
 
 // barred returns the refusal for a key that a home will refuse for long, or nil
 // if another round may win.
@@ -156,6 +167,11 @@
 	}
 }
 
+func conflictRefusal() *keel.Refusal {
+	return keel.Refuse(keel.NotRun, keel.ReasonKeyConflict, 0,
+		"the key was used for a request with another body; this request was not dispatched")
+}
+
 // refusal returns the refusal for a round that was the last one. The caller may
 // try again after the pause that the next round would have waited, or once the
 // running attempt must have ended.
@@ -165,7 +181,11 @@
 			"a request with this key is running, or ran at an instance that was lost")
 	}
 	for _, s := range b.sets {
-		if b.countIn(s, b.said(VoteFull)) > len(s.Holders)-s.Majority() {
+		spare := len(s.Holders) - s.Majority()
+		if b.countIn(s, b.rivals) > spare {
+			return conflictRefusal()
+		}
+		if b.countIn(s, b.said(VoteFull)) > spare {
 			return keel.Refuse(keel.NotRun, keel.ReasonOverload, pause, "the key's home has no room for another claim")
 		}
 	}
--- a/keelclaim/claimant.go
+++ b/keelclaim/claimant.go
@@ -221,8 +221,7 @@
 	b := &c.ballot
 	switch {
 	case b.conflict:
-		return c.refuse(keel.Refuse(keel.NotRun, keel.ReasonKeyConflict, 0,
-			"the key was used before for a request with another body; this request was not dispatched"))
+		return c.refuse(conflictRefusal())
 	case len(b.answeredBy) > 0:
 		return c.recorded(now)
 	case b.ran || b.unknown:
--- a/keelclaim/holder.go
+++ b/keelclaim/holder.go
@@ -107,6 +107,28 @@
 	return h.cfg.Started.Add(now.Sub(h.cfg.Started))
 }
 
+// Handle answers a message of an instance.
+func (h *Holder) Handle(now time.Time, from keel.InstanceName, m Message) Reply {
+	reply := Reply{Incarnation: h.cfg.Incarnation, Phase: h.Phase(now)}
+	switch {
+	case m.Ask != nil:
+		vote := h.Ask(now, *m.Ask)
+		reply.Vote = &vote
+	case m.Settle != nil:
+		h.Settle(now, *m.Settle)
+	case m.Release != nil:
+		h.Release(now, *m.Release)
+	case m.Fetch != nil:
+		reply.Answer, _ = h.Fetch(now, *m.Fetch)
+	case m.Refill != nil:
+		page := h.Refill(now, from, *m.Refill)
+		reply.Page = &page
+	case m.Push != nil:
+		h.Push(now, *m.Push)
+	}
+	return reply
+}
+
 // Ask votes for the attempt if the key is free, else says what is known of it.
 func (h *Holder) Ask(now time.Time, a Ask) Vote {
 	h.Expire(now)
@@ -146,6 +168,7 @@
 		Type:     VoteHeld,
 		State:    r.state,
 		BodyHash: r.bodyHash,
+		Mixed:    r.mixed,
 		Wait:     keel.Duration(max(0, r.deadline.Sub(now))),
 		Fences:   h.recentFences(now),
 	}, true
@@ -210,7 +233,7 @@
 		h.stats.Conflicts++
 		return
 	}
-	r.attempt, r.also, r.bodyHash = s.Attempt, nil, s.BodyHash
+	r.settle(s.Attempt, s.BodyHash)
 	h.settleRecord(s, r)
 	h.touch(now, s.Key, r)
 	h.stats.Settled++
--- a/keelclaim/message.go
+++ b/keelclaim/message.go
@@ -131,6 +131,9 @@
 	State State `cbor:"2,keyasint,omitempty"`
 	// BodyHash is the body hash of the claim that is held.
 	BodyHash uint64 `cbor:"3,keyasint,omitempty"`
+	// Mixed says that the claim has attempts with several bodies, of which at
+	// most one may dispatch.
+	Mixed bool `cbor:"6,keyasint,omitempty"`
 	// Wait is how long the running attempt has until its deadline, or how long
 	// the barrier will stand.
 	Wait keel.Duration `cbor:"4,keyasint,omitempty"`
@@ -162,6 +165,8 @@
 	Attempts []Attempt `cbor:"2,keyasint"`
 	BodyHash uint64    `cbor:"3,keyasint"`
 	State    State     `cbor:"4,keyasint"`
+	// Mixed says that the attempts have different bodies.
+	Mixed bool `cbor:"6,keyasint,omitempty"`
 	// Age is the time since the claim was last used.
 	Age keel.Duration `cbor:"5,keyasint"`
 }
--- a/keelclaim/record.go
+++ b/keelclaim/record.go
@@ -61,8 +61,10 @@
 	// dispatch, but it is not known which.
 	also     []Attempt
 	bodyHash uint64
-	state    State
-	answer   *Answer
+	// mixed says that the attempts have different bodies.
+	mixed  bool
+	state  State
+	answer *Answer
 	// seq is the place of the record in the holder's list.
 	seq      uint64
 	touched  time.Time
@@ -100,11 +102,20 @@
 	return false
 }
 
-// hear adds an attempt that another holder knows of.
-func (r *record) hear(a Attempt) {
-	if r.attempt != a && !slices.Contains(r.also, a) {
-		r.also = append(r.also, a)
+// hear adds an attempt that another holder knows of. It reports whether the
+// attempt is new.
+func (r *record) hear(a Attempt) bool {
+	if r.attempt == a || slices.Contains(r.also, a) {
+		return false
 	}
+	r.also = append(r.also, a)
+	return true
+}
+
+// settle notes that of all attempts this one dispatched.
+func (r *record) settle(a Attempt, bodyHash uint64) {
+	r.attempt, r.also = a, nil
+	r.bodyHash, r.mixed = bodyHash, false
 }
 
 func (r *record) attempts() []Attempt {
--- a/keelclaim/refill.go
+++ b/keelclaim/refill.go
@@ -272,6 +272,7 @@
 		Key:      key,
 		Attempts: r.attempts(),
 		BodyHash: r.bodyHash,
+		Mixed:    r.mixed,
 		State:    r.state,
 		Age:      keel.Duration(max(0, now.Sub(r.touched))),
 	}
@@ -317,18 +318,19 @@
 	}
 	r, ok := h.records[rec.Key]
 	if !ok {
-		r = &record{attempt: live[0], bodyHash: rec.BodyHash, state: StateFree}
+		r = &record{attempt: live[0], bodyHash: rec.BodyHash, mixed: rec.Mixed, state: StateFree}
 		r.fire(eventHear)
 		h.addAged(now, rec, r)
 	}
 	if settled(r.state) {
 		return
 	}
-	known := len(r.also)
+	news := false
 	for _, a := range live {
-		r.hear(a)
+		news = r.hear(a) || news
 	}
-	if len(r.also) > known {
+	if news {
+		r.mixed = r.mixed || rec.Mixed || r.bodyHash != rec.BodyHash
 		h.relist(rec.Key, r)
 	}
 }
@@ -345,7 +347,7 @@
 		return
 	}
 	if !settled(r.state) {
-		r.attempt, r.also, r.bodyHash = rec.Attempts[0], nil, rec.BodyHash
+		r.settle(rec.Attempts[0], rec.BodyHash)
 	}
 	if rec.State == StateUnknown {
 		r.fire(eventSettleUnknown)
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -194,25 +194,7 @@
 func (s *Service) handle(from keel.InstanceName, m Message) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.cfg.Clock.Now()
-	reply := Reply{Incarnation: s.cfg.Self.Incarnation, Phase: s.holder.Phase(now)}
-	switch {
-	case m.Ask != nil:
-		vote := s.holder.Ask(now, *m.Ask)
-		reply.Vote = &vote
-	case m.Settle != nil:
-		s.holder.Settle(now, *m.Settle)
-	case m.Release != nil:
-		s.holder.Release(now, *m.Release)
-	case m.Fetch != nil:
-		reply.Answer, _ = s.holder.Fetch(now, *m.Fetch)
-	case m.Refill != nil:
-		page := s.holder.Refill(now, from, *m.Refill)
-		reply.Page = &page
-	case m.Push != nil:
-		s.holder.Push(now, *m.Push)
-	}
-	return reply
+	return s.holder.Handle(s.cfg.Clock.Now(), from, m)
 }
 
 // exchange sends a message to a holder and returns its reply.
