--- a/keeldeclare/dir.go
+++ b/keeldeclare/dir.go
@@ -23,7 +23,7 @@
 
 // fileDeclarations is the content of one file. Names in it may refer to what
 // other files declare, so it is checked only once all files are merged.
-type fileDeclarations struct{ keel.Declarations }
+type fileDeclarations keel.Declarations
 
 // Check reports nothing.
 func (*fileDeclarations) Check() keel.Faults { return nil }
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "file %s", name)
 	}
-	return &f.Declarations, nil
+	return (*keel.Declarations)(&f), nil
 }
 
 // dirLoader merges files and remembers where each declared thing stood.
