--- /dev/null
+++ b/keelproxy/endpoint.go
@@ -0,0 +1,262 @@
+package keelproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/valyala/fasthttp"
+)
+
+// Target is the endpoint that a request goes to.
+type Target struct {
+	ID      keel.EndpointID
+	Address netip.AddrPort
+	Domain  keel.DomainName
+}
+
+// ConnObserver is told what happens on the connections to endpoints. Its
+// methods are called from several goroutines and must not block.
+type ConnObserver interface {
+	// Opened is called after a connection was opened.
+	Opened(id uint64, t Target, now time.Time)
+	// Waiting is called when a request starts on a connection.
+	Waiting(id uint64, now time.Time)
+	// Progress is called when bytes moved on a connection.
+	Progress(id uint64, now time.Time)
+	// Idle is called when an answer is complete and the connection is kept.
+	Idle(id uint64, now time.Time)
+	// Closed is called after a connection was closed.
+	Closed(id uint64, now time.Time)
+}
+
+// ClientConfig configures an [EndpointClient].
+type ClientConfig struct {
+	// DialTimeout limits the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections to one endpoint.
+	MaxIdle int
+	// MaxHeaderBytes bounds the header of an answer.
+	MaxHeaderBytes int
+	// Observer is told of connections. It may be nil.
+	Observer ConnObserver
+}
+
+// Values of a [ClientConfig] whose fields are zero.
+const (
+	defaultDialTimeout    = time.Second
+	defaultIdleTimeout    = 30 * time.Second
+	defaultMaxIdle        = 64
+	defaultMaxHeaderBytes = 64 << 10
+)
+
+// EndpointClient sends requests to endpoints. A connection carries one request
+// at a time, and is closed if its request was given up, if the endpoint sent
+// more than one answer, or if the answer did not repeat the request id.
+type EndpointClient struct {
+	cfg ClientConfig
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*endpointConn
+	open   map[uint64]*endpointConn
+	nextID uint64
+}
+
+// NewEndpointClient returns a client without connections.
+func NewEndpointClient(cfg ClientConfig) *EndpointClient {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = defaultIdleTimeout
+	}
+	if cfg.MaxIdle == 0 {
+		cfg.MaxIdle = defaultMaxIdle
+	}
+	if cfg.MaxHeaderBytes == 0 {
+		cfg.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
+	return &EndpointClient{
+		cfg:  cfg,
+		idle: make(map[netip.AddrPort][]*endpointConn),
+		open: make(map[uint64]*endpointConn),
+	}
+}
+
+// Dispatch sends r to t and returns the answer as soon as its header is
+// complete. The error is a [keel.Refusal] with the verdict [keel.NotRun] only if
+// no byte was sent.
+func (c *EndpointClient) Dispatch(ctx context.Context, t Target, r *Request) (*Answer, error) {
+	conn, err := c.take(ctx, t)
+	if err != nil {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, err)
+	}
+	answer, err := conn.exchange(ctx, r)
+	if err != nil {
+		conn.close()
+		return nil, conn.refusal(ctx, err)
+	}
+	answer.Domain = t.Domain
+	return answer, nil
+}
+
+// Probe opens a new connection to t, closes it, and reports whether that
+// worked.
+func (c *EndpointClient) Probe(ctx context.Context, t Target) error {
+	conn, err := c.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	conn.close()
+	return nil
+}
+
+// CloseConn closes the connection with that id, also while it carries a
+// request.
+func (c *EndpointClient) CloseConn(id uint64) {
+	c.mu.Lock()
+	conn := c.open[id]
+	c.mu.Unlock()
+	if conn != nil {
+		conn.close()
+	}
+}
+
+// Forget closes the unused connections to an address.
+func (c *EndpointClient) Forget(addr netip.AddrPort) {
+	c.mu.Lock()
+	conns := c.idle[addr]
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	for _, conn := range conns {
+		conn.close()
+	}
+}
+
+// Close closes every connection.
+func (c *EndpointClient) Close() {
+	c.mu.Lock()
+	conns := make([]*endpointConn, 0, len(c.open))
+	for _, conn := range c.open {
+		conns = append(conns, conn)
+	}
+	clear(c.idle)
+	c.mu.Unlock()
+	for _, conn := range conns {
+		conn.close()
+	}
+}
+
+func (c *EndpointClient) take(ctx context.Context, t Target) (*endpointConn, error) {
+	for {
+		conn := c.popIdle(t.Address)
+		if conn == nil {
+			return c.dial(ctx, t)
+		}
+		if conn.usable(c.cfg.IdleTimeout) {
+			return conn, nil
+		}
+		conn.close()
+	}
+}
+
+func (c *EndpointClient) popIdle(addr netip.AddrPort) *endpointConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[addr]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	conn := conns[last]
+	conns[last] = nil
+	c.idle[addr] = conns[:last]
+	return conn
+}
+
+func (c *EndpointClient) pushIdle(conn *endpointConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr := conn.target.Address
+	if len(c.idle[addr]) >= c.cfg.MaxIdle || c.open[conn.id] == nil {
+		return false
+	}
+	c.idle[addr] = append(c.idle[addr], conn)
+	return true
+}
+
+func (c *EndpointClient) dial(ctx context.Context, t Target) (*endpointConn, error) {
+	d := net.Dialer{Timeout: c.cfg.DialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", t.Address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", t.Address)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	conn := newEndpointConn(c, c.nextID, t, nc)
+	c.open[conn.id] = conn
+	c.cfg.Observer.Opened(conn.id, t, time.Now())
+	return conn, nil
+}
+
+func (c *EndpointClient) closed(conn *endpointConn) {
+	c.mu.Lock()
+	delete(c.open, conn.id)
+	c.mu.Unlock()
+	c.cfg.Observer.Closed(conn.id, time.Now())
+}
+
+// refusal turns a failed exchange into a refusal with the verdict that the
+// bytes written so far allow.
+func (conn *endpointConn) refusal(ctx context.Context, err error) *keel.Refusal {
+	verdict := keel.MayHaveRun
+	if conn.sent.Load() == 0 {
+		verdict = keel.NotRun
+	}
+	reason := keel.ReasonEndpointFailed
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		reason = keel.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = keel.ReasonCallerGone
+	}
+	return keel.Refuse(verdict, reason, 0, "endpoint %s: %v", conn.target.ID, err)
+}
+
+type noObserver struct{}
+
+func (noObserver) Opened(uint64, Target, time.Time) {}
+func (noObserver) Waiting(uint64, time.Time)        {}
+func (noObserver) Progress(uint64, time.Time)       {}
+func (noObserver) Idle(uint64, time.Time)           {}
+func (noObserver) Closed(uint64, time.Time)         {}
+
+// fillRequest writes r into the library's request.
+func fillRequest(out *fasthttp.Request, r *Request) {
+	out.Header.DisableNormalizing()
+	out.Header.SetMethod(r.Method)
+	out.Header.SetRequestURI(r.URI)
+	for _, f := range r.Header {
+		out.Header.Add(f.Name, f.Value)
+	}
+	out.Header.SetHost(r.Host)
+	out.Header.Set(HeaderRequestID, r.ID)
+	if left := time.Until(r.Deadline); left > 0 {
+		out.Header.Set(HeaderTimeout, left.Round(time.Millisecond).String())
+	}
+	if r.Body != nil {
+		out.SetBodyStream(io.NopCloser(r.Body), int(r.ContentLength))
+	}
+}
--- /dev/null
+++ b/keelproxy/front.go
@@ -0,0 +1,251 @@
+package keelproxy
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+// FrontConfig configures a [Front].
+type FrontConfig struct {
+	// Runner runs the requests.
+	Runner Runner
+	// Lookup answers requests whose path is [LookupPath].
+	Lookup fasthttp.RequestHandler
+	// NewID makes the id of a request that has none.
+	NewID func() string
+	// Report is told of every request that ended. It may be nil.
+	Report func(Result)
+	Log    *logrus.Entry
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes int
+	// IdleTimeout closes callers' connections without requests.
+	IdleTimeout time.Duration
+}
+
+// LookupPath is the path of look-ups on the caller port.
+const LookupPath = "/v1/lookup"
+
+// Result says how a request ended.
+type Result struct {
+	Request *Request
+	// Status is the HTTP status that the caller got.
+	Status int
+	// Refusal is set if the request got no answer.
+	Refusal *keel.Refusal
+	// Broken says that the answer broke off after its header.
+	Broken bool
+	Domain keel.DomainName
+	// Elapsed is the time from the request's header to the end of its answer.
+	Elapsed time.Duration
+}
+
+// Front is the server of the caller port.
+type Front struct {
+	cfg      FrontConfig
+	server   *fasthttp.Server
+	watch    *CallerWatch
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+}
+
+// NewFront returns a server that does not listen yet.
+func NewFront(cfg FrontConfig) *Front {
+	f := &Front{cfg: cfg, watch: NewCallerWatch()}
+	f.server = &fasthttp.Server{
+		Handler:                      f.handle,
+		ErrorHandler:                 f.handleError,
+		Name:                         "",
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               cfg.MaxHeaderBytes,
+		MaxRequestBodySize:           prefetchBytes,
+		IdleTimeout:                  cfg.IdleTimeout,
+		CloseOnShutdown:              true,
+		Logger:                       discardLogger{},
+	}
+	return f
+}
+
+// prefetchBytes is how much of a request's body is read before the request is
+// handled.
+const prefetchBytes = 64 << 10
+
+// discardLogger drops the library's own lines; failures reach the log through
+// the error handler.
+type discardLogger struct{}
+
+func (discardLogger) Printf(string, ...any) {}
+
+// Serve answers callers on ln until [Front.Shutdown].
+func (f *Front) Serve(ln net.Listener) error {
+	return errors.Wrap(f.server.Serve(ln), "serve callers")
+}
+
+// Run cancels the requests of callers who are gone, until ctx ends.
+func (f *Front) Run(ctx context.Context) error { return f.watch.Run(ctx) }
+
+// Leave makes the server close each connection after its next answer.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
+// Shutdown stops listening and waits until every request has ended.
+func (f *Front) Shutdown(ctx context.Context) error {
+	return errors.Wrap(f.server.ShutdownWithContext(ctx), "stop caller port")
+}
+
+// InFlight returns the number of requests that have not ended.
+func (f *Front) InFlight() int64 { return f.inFlight.Load() }
+
+func (f *Front) handle(fctx *fasthttp.RequestCtx) {
+	if f.leaving.Load() {
+		fctx.SetConnectionClose()
+	}
+	if string(fctx.Path()) == LookupPath {
+		f.cfg.Lookup(fctx)
+		return
+	}
+	f.proxy(fctx)
+}
+
+func (f *Front) proxy(fctx *fasthttp.RequestCtx) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxied{front: f, start: time.Now(), conn: fctx.Conn(), cancel: cancel}
+	f.inFlight.Add(1)
+	f.watch.add(p.conn, cancel)
+	r, refusal := f.parse(fctx)
+	p.request = r
+	if refusal != nil {
+		p.refuse(fctx, refusal)
+		return
+	}
+	p.takeBody(fctx)
+	answer, err := f.cfg.Runner.RunRequest(ctx, r)
+	if err != nil {
+		p.refuse(fctx, AsRefusal(err))
+		return
+	}
+	p.answer(fctx, answer)
+}
+
+func (f *Front) parse(fctx *fasthttp.RequestCtx) (*Request, *keel.Refusal) {
+	h := &fctx.Request.Header
+	r := &Request{
+		ID:            string(h.Peek(HeaderRequestID)),
+		Service:       serviceOf(h),
+		Method:        string(h.Method()),
+		URI:           string(h.RequestURI()),
+		Host:          string(h.Host()),
+		ContentLength: int64(h.ContentLength()),
+		Caller:        addrOf(fctx.RemoteAddr()),
+		Key:           string(h.Peek(HeaderKey)),
+		Ticket:        string(h.Peek(HeaderTicket)),
+	}
+	if r.ID == "" || len(r.ID) > keel.MaxNameLength {
+		r.ID = f.cfg.NewID()
+	}
+	if fs := keel.CheckName("service", r.Service); len(fs) > 0 {
+		return r, badRequest("header %s or Host: %v", HeaderService, fs)
+	}
+	if !strings.HasPrefix(r.URI, "/") {
+		return r, badRequest("request target: %q does not start with /", r.URI)
+	}
+	if err := parseTimeout(r, string(h.Peek(HeaderTimeout))); err != nil {
+		return r, badRequest("header %s: %v", HeaderTimeout, err)
+	}
+	filter := newHeaderFilter(string(h.Peek("Connection")))
+	for name, value := range h.All() {
+		filter.add(name, value)
+	}
+	for _, name := range []string{"Host", HeaderTimeout, HeaderRequestID, HeaderTicket, HeaderService} {
+		filter.fields = without(filter.fields, name)
+	}
+	r.Header = filter.fields
+	return r, nil
+}
+
+func badRequest(format string, args ...any) *keel.Refusal {
+	return keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, format, args...)
+}
+
+func parseTimeout(r *Request, text string) error {
+	if text == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Errorf("%q is not a duration", text)
+	}
+	if d <= 0 || d > maxTimeout {
+		return errors.Errorf("%s must lie between 0s and %s", d, maxTimeout)
+	}
+	r.Timeout = d
+	return nil
+}
+
+// maxTimeout bounds the time limit that a caller may ask for.
+const maxTimeout = time.Hour
+
+func serviceOf(h *fasthttp.RequestHeader) keel.ServiceName {
+	if v := h.Peek(HeaderService); len(v) > 0 {
+		return keel.ServiceName(v)
+	}
+	host, _, _ := strings.Cut(string(h.Host()), ":")
+	first, _, _ := strings.Cut(host, ".")
+	return keel.ServiceName(first)
+}
+
+func addrOf(a net.Addr) netip.Addr {
+	ap, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
+
+// handleError answers requests that the HTTP library could not parse.
+func (f *Front) handleError(fctx *fasthttp.RequestCtx, err error) {
+	refusal := badRequest("request: %v", err)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		refusal = keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "header: exceeds %d bytes", f.cfg.MaxHeaderBytes)
+	}
+	fctx.SetConnectionClose()
+	WriteRefusal(fctx, refusal)
+	f.report(Result{Request: &Request{}, Status: refusal.Reason.Status(), Refusal: refusal})
+}
+
+func (f *Front) report(res Result) {
+	if f.cfg.Report != nil {
+		f.cfg.Report(res)
+	}
+}
+
+// WriteRefusal writes a refusal with its status, verdict and wait.
+func WriteRefusal(fctx *fasthttp.RequestCtx, refusal *keel.Refusal) {
+	body, err := json.Marshal(refusal)
+	if err != nil {
+		body = nil
+	}
+	fctx.Response.ResetBody()
+	fctx.SetStatusCode(refusal.Reason.Status())
+	fctx.Response.Header.Set(HeaderVerdict, refusal.Verdict.String())
+	if wait := refusal.RetryAfter.Std(); wait > 0 {
+		fctx.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	fctx.SetContentType("application/json")
+	fctx.SetBody(body)
+}
--- /dev/null
+++ b/keelproxy/proxied.go
@@ -0,0 +1,167 @@
+package keelproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/valyala/fasthttp"
+)
+
+// proxied is one request of a caller from its header to the end of its answer.
+type proxied struct {
+	front   *Front
+	start   time.Time
+	conn    net.Conn
+	cancel  context.CancelFunc
+	request *Request
+	body    *callerBody
+	result  Result
+	once    sync.Once
+}
+
+// takeBody lets the request read its body from the caller's connection.
+func (p *proxied) takeBody(fctx *fasthttp.RequestCtx) {
+	if !hasBody(fctx) {
+		p.request.ContentLength = 0
+		return
+	}
+	p.body = &callerBody{r: fctx.RequestBodyStream(), conn: p.conn}
+	p.request.Body = p.body
+}
+
+func hasBody(fctx *fasthttp.RequestCtx) bool {
+	length := fctx.Request.Header.ContentLength()
+	return fctx.RequestBodyStream() != nil && (length > 0 || length == int(LengthUnknown))
+}
+
+func (p *proxied) refuse(fctx *fasthttp.RequestCtx, refusal *keel.Refusal) {
+	if !p.stopBody() {
+		fctx.SetConnectionClose()
+	}
+	WriteRefusal(fctx, refusal)
+	p.result = Result{Status: refusal.Reason.Status(), Refusal: refusal}
+	p.end()
+}
+
+// answer writes the header of an answer. The HTTP library sends the body after
+// the handler has returned and closes it then, which ends the request.
+func (p *proxied) answer(fctx *fasthttp.RequestCtx, a *Answer) {
+	h := &fctx.Response.Header
+	fctx.SetStatusCode(a.Status)
+	for _, f := range a.Header {
+		h.Add(f.Name, f.Value)
+	}
+	h.Set(HeaderRequestID, p.request.ID)
+	h.Set(HeaderServedBy, string(a.Domain))
+	p.result = Result{Status: a.Status, Domain: a.Domain}
+	body := &answerStream{p: p, answer: a}
+	fctx.Response.SetBodyStream(body, int(a.ContentLength))
+	if fctx.IsHead() || !hasBodyStatus(a.Status) {
+		fctx.Response.SkipBody = true
+		body.noBody = true
+		_ = body.Close()
+	}
+	if p.body != nil && !p.body.atEnd.Load() {
+		fctx.SetConnectionClose()
+	}
+}
+
+// stopBody ends the reading of the caller's body and reports whether all of it
+// was read.
+func (p *proxied) stopBody() bool {
+	return p.body == nil || p.body.stop()
+}
+
+func (p *proxied) end() {
+	p.once.Do(func() {
+		p.stopBody()
+		p.cancel()
+		p.front.watch.remove(p.conn)
+		p.front.inFlight.Add(-1)
+		p.result.Request = p.request
+		p.result.Elapsed = time.Since(p.start)
+		p.front.report(p.result)
+	})
+}
+
+// answerStream is an answer's body on its way to the caller.
+type answerStream struct {
+	p      *proxied
+	answer *Answer
+	noBody bool
+	read   int64
+	atEnd  bool
+}
+
+func (s *answerStream) Read(b []byte) (int, error) {
+	n, err := s.answer.Body.Read(b)
+	s.read += int64(n)
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		s.atEnd = true
+		return n, io.EOF
+	}
+	return n, err
+}
+
+// Close ends the request.
+func (s *answerStream) Close() error {
+	s.p.stopBody()
+	err := s.answer.Body.Close()
+	s.p.result.Broken = !s.noBody && !s.complete()
+	s.p.end()
+	return err
+}
+
+// complete reports whether the whole answer was read. The HTTP library does
+// not read past a known length.
+func (s *answerStream) complete() bool {
+	return s.atEnd || s.read == s.answer.ContentLength
+}
+
+// callerBody reads a request's body from the caller's connection. No read is
+// under way after stop has returned, since the connection goes on to the next
+// request.
+type callerBody struct {
+	r       io.Reader
+	conn    net.Conn
+	mu      sync.Mutex
+	stopped bool
+	atEnd   atomic.Bool
+}
+
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		return 0, errors.New("request body: the request has ended")
+	}
+	n, err := b.r.Read(p)
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		b.atEnd.Store(true)
+	}
+	return n, err
+}
+
+// Interrupt ends a read that is under way and every later one.
+func (b *callerBody) Interrupt() {
+	_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // wakes a blocked read
+}
+
+// stop ends a read that is under way and refuses later ones. It reports whether
+// the body was read to its end.
+func (b *callerBody) stop() bool {
+	if b.atEnd.Load() {
+		return true
+	}
+	b.Interrupt()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	return b.atEnd.Load()
+}
