keeloperate: operator port and its client

Cause: operators need one place for changes, the state dump and metrics. Change: a fiber server over the interfaces Control and State, and a client.

--- /dev/null
+++ b/keeloperate/app.go
@@ -0,0 +1,251 @@
+// Package keeloperate serves the operator port of an instance: declarations and
+// their changes, the state dump, health, readiness and metrics.
+//
+// [NewApp] builds the server over the interfaces [Control] and [State]; the
+// package holds no state of its own. [Client] calls the port of an instance.
+package keeloperate
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Paths of the operator port.
+const (
+	PathDeclarations = "/v1/declarations"
+	PathChanges      = "/v1/changes"
+	PathInForce      = "/v1/in_force"
+	PathState        = "/v1/state"
+	PathHealth       = "/healthz"
+	PathReady        = "/readyz"
+	PathMetrics      = "/metrics"
+)
+
+// Declared is the declarations in force at an instance.
+type Declared struct {
+	Version      keel.Version       `json:"version"`
+	Declarations *keel.Declarations `json:"declarations"`
+}
+
+// Check reports missing declarations.
+func (d *Declared) Check() keel.Faults {
+	var fs keel.Faults
+	if d.Declarations == nil {
+		fs.Add("declarations", "must be given")
+	}
+	return fs
+}
+
+// HistoryEntry is one accepted change.
+type HistoryEntry struct {
+	Version keel.Version  `json:"version"`
+	ID      keel.ChangeID `json:"id"`
+	Author  string        `json:"author"`
+	Time    time.Time     `json:"time"`
+	Ops     []keel.Op     `json:"ops"`
+}
+
+// History lists accepted changes, the newest first.
+type History struct {
+	Changes []HistoryEntry `json:"changes"`
+}
+
+// Check reports nothing.
+func (h *History) Check() keel.Faults { return nil }
+
+// InForce says which instances have a version in force.
+type InForce struct {
+	Version keel.Version `json:"version"`
+	// Everywhere says that every live instance reports the version.
+	Everywhere bool `json:"everywhere"`
+	// Instances is the number of live instances.
+	Instances int `json:"instances"`
+	// Lagging names live instances that report a lower version.
+	Lagging []keel.InstanceName `json:"lagging,omitempty"`
+}
+
+// Check reports nothing.
+func (f *InForce) Check() keel.Faults { return nil }
+
+// Control is the part of an instance that carries out operators' calls.
+type Control interface {
+	// Declared returns the declarations in force here.
+	Declared() Declared
+	// Submit carries a change to the leader and returns its outcome. After an
+	// error the outcome is unknown unless the error is a refusal with the
+	// verdict [keel.NotRun].
+	Submit(ctx context.Context, c keel.Change) (keel.Outcome, error)
+	// History returns at most limit accepted changes, the newest first.
+	History(limit int) History
+	// InForce says where a version is in force.
+	InForce(v keel.Version) InForce
+}
+
+// State is the part of an instance that tells how it is.
+type State interface {
+	// Dump returns the state, which encodes to JSON.
+	Dump() any
+	// Ready returns nil if the instance can serve callers.
+	Ready() error
+}
+
+// Config configures the operator port.
+type Config struct {
+	Control Control
+	State   State
+	// Metrics serves the scrape format of the metrics.
+	Metrics http.Handler
+	// Token returns the secret that a call which changes something must carry.
+	Token func() string
+	// MaxChangeBytes bounds the body of a change.
+	MaxChangeBytes int
+}
+
+const (
+	defaultMaxChangeBytes = 64 << 20
+	defaultHistoryLimit   = 50
+	submitTimeout         = 10 * time.Second
+	bearer                = "Bearer "
+)
+
+type handlers struct{ cfg Config }
+
+// NewApp returns the HTTP server of the operator port.
+func NewApp(cfg Config) *fiber.App {
+	if cfg.MaxChangeBytes == 0 {
+		cfg.MaxChangeBytes = defaultMaxChangeBytes
+	}
+	h := &handlers{cfg: cfg}
+	app := fiber.New(fiber.Config{BodyLimit: cfg.MaxChangeBytes, ErrorHandler: h.fail})
+	app.Get(PathHealth, h.health)
+	app.Get(PathReady, h.ready)
+	app.Get(PathDeclarations, h.declarations)
+	app.Get(PathChanges, h.history)
+	app.Get(PathInForce, h.inForce)
+	app.Get(PathState, h.state)
+	app.Get(PathMetrics, adaptor.HTTPHandler(cfg.Metrics))
+	app.Post(PathChanges, h.authorise, h.change)
+	return app
+}
+
+func (h *handlers) health(c fiber.Ctx) error { return c.SendString("ok\n") }
+
+func (h *handlers) ready(c fiber.Ctx) error {
+	if err := h.cfg.State.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (h *handlers) declarations(c fiber.Ctx) error { return c.JSON(h.cfg.Control.Declared()) }
+
+func (h *handlers) state(c fiber.Ctx) error { return c.JSON(h.cfg.State.Dump()) }
+
+func (h *handlers) history(c fiber.Ctx) error {
+	limit, err := number(c, "limit", defaultHistoryLimit)
+	if err != nil {
+		return err
+	}
+	return c.JSON(h.cfg.Control.History(limit))
+}
+
+func (h *handlers) inForce(c fiber.Ctx) error {
+	v, err := number(c, "version", 0)
+	if err != nil {
+		return err
+	}
+	return c.JSON(h.cfg.Control.InForce(keel.Version(v)))
+}
+
+func number(c fiber.Ctx, name string, byDefault int) (int, error) {
+	text := c.Query(name)
+	if text == "" {
+		return byDefault, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0, keel.Faults{{Field: name, Reason: "must be a whole number that is not negative"}}
+	}
+	return n, nil
+}
+
+func (h *handlers) authorise(c fiber.Ctx) error {
+	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearer)
+	want := h.cfg.Token()
+	if !ok || want == "" || subtle.ConstantTimeCompare([]byte(given), []byte(want)) != 1 {
+		return fiber.NewError(fiber.StatusUnauthorized, "the operator token is missing or wrong")
+	}
+	return c.Next()
+}
+
+func (h *handlers) change(c fiber.Ctx) error {
+	var change keel.Change
+	if err := keel.DecodeJSON(c.Body(), &change); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), submitTimeout)
+	defer cancel()
+	outcome, err := h.cfg.Control.Submit(ctx, change)
+	if err != nil {
+		return err
+	}
+	return c.Status(outcomeStatus(outcome.Status)).JSON(outcome)
+}
+
+func outcomeStatus(s keel.OutcomeStatus) int {
+	switch s {
+	case keel.OutcomeAccepted:
+		return fiber.StatusOK
+	case keel.OutcomeConflict:
+		return fiber.StatusConflict
+	default:
+		return fiber.StatusUnprocessableEntity
+	}
+}
+
+// Problem is the JSON body of a call that failed.
+type Problem struct {
+	Error  string      `json:"error"`
+	Faults keel.Faults `json:"faults,omitempty"`
+	// Verdict says whether a change may have been accepted.
+	Verdict keel.Verdict `json:"verdict"`
+}
+
+// Check reports a missing error text.
+func (p *Problem) Check() keel.Faults {
+	var fs keel.Faults
+	if p.Error == "" {
+		fs.Add("error", "must not be empty")
+	}
+	return fs
+}
+
+func (h *handlers) fail(c fiber.Ctx, err error) error {
+	p := Problem{Error: err.Error(), Verdict: keel.NotRun}
+	status := fiber.StatusInternalServerError
+	var (
+		faults  keel.Faults
+		refusal *keel.Refusal
+		fe      *fiber.Error
+	)
+	switch {
+	case errors.As(err, &faults):
+		status, p.Faults = fiber.StatusBadRequest, faults
+	case errors.As(err, &refusal):
+		status, p.Verdict = refusal.Reason.Status(), refusal.Verdict
+	case errors.As(err, &fe):
+		status = fe.Code
+	default:
+		p.Verdict = keel.MayHaveRun
+	}
+	return c.Status(status).JSON(p)
+}
--- /dev/null
+++ b/keeloperate/client.go
@@ -0,0 +1,148 @@
+package keeloperate
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Client calls the operator port of one instance.
+type Client struct {
+	// Address is the address of the operator port.
+	Address netip.AddrPort
+	// Token is the operator token. Calls that change nothing need none.
+	Token string
+	// HTTP sends the calls; nil means [http.DefaultClient].
+	HTTP *http.Client
+}
+
+// ProblemError is a call that the instance refused.
+type ProblemError struct {
+	Status  int
+	Problem Problem
+}
+
+// Error returns the status and the text of the problem.
+func (e *ProblemError) Error() string {
+	return "status " + strconv.Itoa(e.Status) + ": " + e.Problem.Error
+}
+
+// Declared returns the declarations in force at the instance.
+func (c *Client) Declared(ctx context.Context) (Declared, error) {
+	var d Declared
+	_, err := c.call(ctx, http.MethodGet, PathDeclarations, nil, &d)
+	return d, err
+}
+
+// Submit sends a change and returns its outcome.
+func (c *Client) Submit(ctx context.Context, change keel.Change) (keel.Outcome, error) {
+	var o keel.Outcome
+	_, err := c.call(ctx, http.MethodPost, PathChanges, &change, &o)
+	return o, err
+}
+
+// History returns the accepted changes, the newest first.
+func (c *Client) History(ctx context.Context, limit int) (History, error) {
+	var h History
+	q := url.Values{"limit": {strconv.Itoa(limit)}}
+	_, err := c.call(ctx, http.MethodGet, PathChanges+"?"+q.Encode(), nil, &h)
+	return h, err
+}
+
+// InForce returns where a version is in force.
+func (c *Client) InForce(ctx context.Context, v keel.Version) (InForce, error) {
+	var f InForce
+	q := url.Values{"version": {strconv.FormatUint(uint64(v), 10)}}
+	_, err := c.call(ctx, http.MethodGet, PathInForce+"?"+q.Encode(), nil, &f)
+	return f, err
+}
+
+// inForcePoll is the pause between two questions for a version in force.
+const inForcePoll = 50 * time.Millisecond
+
+// WaitInForce waits until every live instance reports the version, or until ctx
+// ends. It returns what it saw last.
+func (c *Client) WaitInForce(ctx context.Context, v keel.Version) (InForce, error) {
+	for {
+		f, err := c.InForce(ctx, v)
+		if err == nil && f.Everywhere {
+			return f, nil
+		}
+		select {
+		case <-ctx.Done():
+			return f, errors.Wrapf(ctx.Err(), "wait for version %d", v)
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+// Dump returns the state dump as JSON.
+func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	return c.call(ctx, http.MethodGet, PathState, nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in any, out keel.Checker) ([]byte, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %T", in)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address.String()+path, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "make call")
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", bearer+c.Token)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return c.do(req, out)
+}
+
+func (c *Client) do(req *http.Request, out keel.Checker) ([]byte, error) {
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call operator port %s", c.Address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "answer of operator port %s", c.Address)
+	}
+	if out == nil && resp.StatusCode < http.StatusBadRequest {
+		return data, nil
+	}
+	if out != nil && isOutcome(resp.StatusCode, out) {
+		return data, keel.DecodeJSON(data, out)
+	}
+	problem := Problem{}
+	if err := keel.DecodeJSON(data, &problem); err != nil {
+		problem.Error = string(data)
+	}
+	return nil, &ProblemError{Status: resp.StatusCode, Problem: problem}
+}
+
+// isOutcome reports whether the body of an answer is what was asked for. A
+// refused change has an outcome, too.
+func isOutcome(status int, out keel.Checker) bool {
+	if status < http.StatusBadRequest {
+		return true
+	}
+	_, ok := out.(*keel.Outcome)
+	return ok && (status == http.StatusConflict || status == http.StatusUnprocessableEntity)
+}
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -93,7 +93,10 @@
 
 // Serve answers callers on ln until [Front.Shutdown].
 func (f *Front) Serve(ln net.Listener) error {
-	return errors.Wrap(f.server.Serve(ln), "serve callers")
+	if err := f.server.Serve(ln); err != nil {
+		return errors.Wrapf(err, "serve callers on %s", ln.Addr())
+	}
+	return nil
 }
 
 // Run cancels the requests of callers who are gone, until ctx ends.
@@ -104,7 +107,10 @@
 
 // Shutdown stops listening and waits until every request has ended.
 func (f *Front) Shutdown(ctx context.Context) error {
-	return errors.Wrap(f.server.ShutdownWithContext(ctx), "stop caller port")
+	if err := f.server.ShutdownWithContext(ctx); err != nil {
+		return errors.Wrap(err, "stop caller port")
+	}
+	return nil
 }
 
 // InFlight returns the number of requests that have not ended.
