--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -26,11 +26,12 @@
 type ConnObserver interface {
 	// Opened is called after a connection was opened.
 	Opened(id uint64, t Target, now time.Time)
-	// Waiting is called when a request starts on a connection.
+	// Waiting is called before a read or a write, when the endpoint is expected
+	// to send or to take bytes.
 	Waiting(id uint64, now time.Time)
 	// Progress is called when bytes moved on a connection.
 	Progress(id uint64, now time.Time)
-	// Idle is called when an answer is complete and the connection is kept.
+	// Idle is called after a read or a write, when nothing is expected.
 	Idle(id uint64, now time.Time)
 	// Closed is called after a connection was closed.
 	Closed(id uint64, now time.Time)
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -40,21 +40,27 @@
 type progressReader struct{ conn *endpointConn }
 
 func (p progressReader) Read(b []byte) (int, error) {
+	obs := p.conn.client.cfg.Observer
+	obs.Waiting(p.conn.id, time.Now())
 	n, err := p.conn.nc.Read(b)
 	if n > 0 {
-		p.conn.client.cfg.Observer.Progress(p.conn.id, time.Now())
+		obs.Progress(p.conn.id, time.Now())
 	}
+	obs.Idle(p.conn.id, time.Now())
 	return n, err
 }
 
 type progressWriter struct{ conn *endpointConn }
 
 func (p progressWriter) Write(b []byte) (int, error) {
+	obs := p.conn.client.cfg.Observer
+	obs.Waiting(p.conn.id, time.Now())
 	n, err := p.conn.nc.Write(b)
 	if n > 0 {
 		p.conn.sent.Add(int64(n))
-		p.conn.client.cfg.Observer.Progress(p.conn.id, time.Now())
+		obs.Progress(p.conn.id, time.Now())
 	}
+	obs.Idle(p.conn.id, time.Now())
 	return n, err
 }
 
@@ -109,7 +115,6 @@
 // exchange sends r and reads the header of its answer.
 func (conn *endpointConn) exchange(ctx context.Context, r *Request) (*Answer, error) {
 	conn.sent.Store(0)
-	conn.client.cfg.Observer.Waiting(conn.id, time.Now())
 	if err := conn.nc.SetDeadline(r.Deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
@@ -253,7 +258,6 @@
 		return nil
 	}
 	conn.idleSince = time.Now()
-	conn.client.cfg.Observer.Idle(conn.id, conn.idleSince)
 	if !conn.client.pushIdle(conn) {
 		conn.close()
 	}
--- /dev/null
+++ b/keelsteer/plan.go
@@ -0,0 +1,315 @@
+package keelsteer
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
+	"github.com/greengagekeel/greengagekeel/keelendpoint"
+	"github.com/greengagekeel/greengagekeel/keellookup"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelroute"
+)
+
+// plan is what requests are run by until the next plan. It never changes.
+type plan struct {
+	snapshot  *keeldeclare.Snapshot
+	view      *View
+	lookup    *keellookup.Directory
+	blocks    *keellookup.Table
+	selectors map[keel.ServiceName][]*keel.Selector
+	byName    map[keel.SelectorName]*keel.Selector
+	services  map[keel.ServiceName]bool
+	regions   map[keel.DomainName]keel.RegionName
+	pools     map[keel.ServiceName]*pool
+	// owners lists the instances of the own failure domain that own endpoints
+	// which a selector matches.
+	owners  map[keel.SelectorName][]owner
+	entries []keelendpoint.Entry
+}
+
+// owner is an instance with the slots of the endpoints that it owns.
+type owner struct {
+	instance keel.Instance
+	slots    int
+}
+
+func (e *Engine) makePlan(now time.Time) {
+	snapshot := e.cfg.Declared()
+	old := e.plan.Load()
+	p := &plan{
+		snapshot: snapshot,
+		view:     e.cfg.View(),
+		entries:  e.cfg.Endpoints.Entries(),
+	}
+	p.indexDeclarations()
+	p.blocks = blockTable(old, snapshot)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setOwners(now, p)
+	e.setPools(now, p)
+	e.setShares(now, p)
+	e.links.set(p.snapshot.Declarations)
+	p.lookup = e.lookupDirectory(p)
+	p.pools = maps.Clone(e.pools)
+	e.plan.Store(p)
+}
+
+func (p *plan) indexDeclarations() {
+	d := p.snapshot.Declarations
+	p.selectors = make(map[keel.ServiceName][]*keel.Selector)
+	p.byName = make(map[keel.SelectorName]*keel.Selector, len(d.Selectors))
+	p.services = make(map[keel.ServiceName]bool, len(d.Services))
+	p.regions = make(map[keel.DomainName]keel.RegionName, len(d.Domains))
+	for _, s := range d.Services {
+		p.services[s.Name] = true
+	}
+	for _, v := range d.Domains {
+		p.regions[v.Name] = v.Region
+	}
+	for i := range d.Selectors {
+		s := &d.Selectors[i]
+		p.byName[s.Name] = s
+		p.selectors[s.Service] = append(p.selectors[s.Service], s)
+	}
+	for _, list := range p.selectors {
+		slices.SortStableFunc(list, compareSelectors)
+	}
+}
+
+// compareSelectors orders selectors by how much of a request they name.
+func compareSelectors(a, b *keel.Selector) int {
+	if c := cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)); c != 0 {
+		return c
+	}
+	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
+		if len(a.Methods) > 0 {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// selectorOf returns the selector of a request from a caller.
+func (p *plan) selectorOf(r *keelproxy.Request) (*keel.Selector, *keel.Refusal) {
+	if !p.services[r.Service] {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonUnknownService, 0, "service %q is not declared", r.Service)
+	}
+	path := r.Path()
+	for _, s := range p.selectors[r.Service] {
+		if s.Takes(r.Service, r.Method, path) {
+			return s, nil
+		}
+	}
+	return nil, keel.Refuse(keel.NotRun, keel.ReasonNoSelector, 0, "no selector of service %q takes %s %s", r.Service, r.Method, path)
+}
+
+// blockTable returns the table of the client blocks in a snapshot. It changes
+// the old plan's table by what is different.
+func blockTable(old *plan, s *keeldeclare.Snapshot) *keellookup.Table {
+	if old == nil || old.snapshot.Blocks == nil || s.Blocks == nil {
+		return keellookup.NewTable(s.Blocks.All())
+	}
+	if old.snapshot == s || old.snapshot.Blocks == s.Blocks {
+		return old.blocks
+	}
+	put := make(map[string]bool)
+	_ = put
+	return updateTable(old.blocks, s.Blocks, old.snapshot.Blocks)
+}
+
+// drained reports whether a label rule drains the thing.
+func (p *plan) drained(target keel.LabelTarget, name string, announced keel.Labels) bool {
+	return p.snapshot.Declarations.LabelsOf(target, name, announced).On(keel.LabelDrain)
+}
+
+// setOwners tells the ownership core which endpoints and instances there are.
+func (e *Engine) setOwners(now time.Time, p *plan) {
+	present := make(map[keel.EndpointID]bool, len(p.entries))
+	for i := range p.entries {
+		id := p.entries[i].Announcement.ID()
+		present[id] = true
+		e.owners.Track(now, id)
+	}
+	for id := range e.known {
+		if !present[id] {
+			e.owners.Forget(id)
+			e.ramp.Remove(id)
+			e.eject.Remove(id)
+		}
+	}
+	for id := range present {
+		if !e.known[id] {
+			e.ramp.Started(now, id)
+			e.eject.Add(id)
+		}
+	}
+	e.known = present
+	e.owners.Update(now, p.liveOwners(e.cfg.Self, e.leaving.Load()), p.registered(e.cfg.Self.Domain))
+}
+
+// liveOwners returns the instances of the own failure domain that may own
+// endpoints. One that leaves no longer may.
+func (p *plan) liveOwners(self keel.Instance, leaving bool) []keel.InstanceName {
+	var names []keel.InstanceName
+	if !leaving && !p.drained(keel.TargetInstance, string(self.Name), nil) {
+		names = append(names, self.Name)
+	}
+	if d := p.view.domain(self.Domain); d != nil {
+		for _, m := range d.Members {
+			if m.Instance.Name != self.Name && !m.Leaving && !p.drained(keel.TargetInstance, string(m.Instance.Name), nil) {
+				names = append(names, m.Instance.Name)
+			}
+		}
+	}
+	if len(names) == 0 {
+		names = append(names, self.Name)
+	}
+	return names
+}
+
+func (p *plan) registered(domain keel.DomainName) []keel.InstanceName {
+	var names []keel.InstanceName
+	for _, in := range p.snapshot.Declarations.Instances {
+		if in.Domain == domain {
+			names = append(names, in.Name)
+		}
+	}
+	return names
+}
+
+// setPools gives each pool the endpoints that this instance owns, and finds the
+// owners of every selector's endpoints.
+func (e *Engine) setPools(now time.Time, p *plan) {
+	mine := make(map[keel.ServiceName][]owned)
+	p.owners = make(map[keel.SelectorName][]owner)
+	for i := range p.entries {
+		a := &p.entries[i].Announcement
+		labels := p.snapshot.Declarations.LabelsOf(keel.TargetEndpoint, string(a.Name), a.Labels)
+		drain := e.drainOf(p, a, labels)
+		e.drains.note(now, a.ID(), drain)
+		name, _ := e.owners.Owner(now, a.ID())
+		if name == e.cfg.Self.Name {
+			mine[a.Service] = append(mine[a.Service], e.ownedOf(now, p, i, labels, drain))
+		}
+		if !drain {
+			p.addOwner(e.cfg.Self, name, a, labels)
+		}
+	}
+	for service := range p.services {
+		if e.pools[service] == nil {
+			e.pools[service] = e.newPool(service)
+		}
+	}
+	for service, pl := range e.pools {
+		pl.set(now, mine[service])
+	}
+}
+
+func (e *Engine) drainOf(p *plan, a *keel.Announcement, labels keel.Labels) bool {
+	return a.State == keel.EndpointLeaving || labels.On(keel.LabelDrain) ||
+		p.drained(keel.TargetDomain, string(e.cfg.Self.Domain), nil)
+}
+
+func (e *Engine) ownedOf(now time.Time, p *plan, i int, labels keel.Labels, drain bool) owned {
+	a := &p.entries[i].Announcement
+	id := a.ID()
+	slots := e.owners.SlotsOf(now, id, a.Slots)
+	return owned{
+		state: keeladmit.EndpointState{
+			ID: id, Labels: labels, Slots: slots,
+			Ramp:         e.ramp.Part(now, id),
+			Reported:     a.Report,
+			ReportedAt:   p.entries[i].Heard,
+			EjectedUntil: e.eject.Until(id),
+		},
+		target: keelproxy.Target{ID: id, Address: a.Address, Domain: e.cfg.Self.Domain},
+		drain:  drain || slots == 0,
+	}
+}
+
+// addOwner adds the slots of an endpoint to its owner, for each selector that
+// matches the endpoint.
+func (p *plan) addOwner(self keel.Instance, name keel.InstanceName, a *keel.Announcement, labels keel.Labels) {
+	instance := self
+	if name != self.Name {
+		d := p.view.domain(self.Domain)
+		if d == nil || d.member(name) == nil {
+			return
+		}
+		instance = d.member(name).Instance
+	}
+	for _, s := range p.selectors[a.Service] {
+		if !labels.Matches(s.Endpoints) {
+			continue
+		}
+		list := p.owners[s.Name]
+		at := slices.IndexFunc(list, func(o owner) bool { return o.instance.Name == name })
+		if at < 0 {
+			p.owners[s.Name] = append(list, owner{instance: instance, slots: a.Slots})
+			continue
+		}
+		list[at].slots += a.Slots
+	}
+}
+
+func (e *Engine) newPool(service keel.ServiceName) *pool {
+	random := rand.New(rand.NewPCG(e.cfg.Seed, uint64(len(e.pools))))
+	return newPool(keeladmit.QueueConfig{
+		Service: service,
+		Picker:  keelroute.PowerOfTwo{},
+		Random:  random.Uint64,
+	})
+}
+
+// lookupDirectory returns the directory that look-ups are answered from.
+func (e *Engine) lookupDirectory(p *plan) *keellookup.Directory {
+	d := p.snapshot.Declarations
+	cfg := keellookup.DirectoryConfig{
+		Blocks:  p.blocks,
+		Sites:   d.Sites,
+		Domains: d.Domains,
+		Home:    e.cfg.Self.Domain,
+		TTL:     e.cfg.LookupTTL,
+	}
+	for i := range p.view.Domains {
+		for _, m := range p.view.Domains[i].Members {
+			if m.Instance.Name != e.cfg.Self.Name {
+				cfg.Candidates = append(cfg.Candidates, p.candidate(m))
+			}
+		}
+	}
+	self := Member{Instance: e.cfg.Self, Leaving: e.leaving.Load()}
+	for service, pl := range e.pools {
+		self.Rooms = append(self.Rooms, pl.room(time.Now(), service))
+	}
+	cfg.Candidates = append(cfg.Candidates, p.candidate(self))
+	return keellookup.NewDirectory(cfg)
+}
+
+func (p *plan) candidate(m Member) keellookup.Candidate {
+	c := keellookup.Candidate{
+		Instance: m.Instance,
+		Live:     true,
+		Leaving:  m.Leaving || p.drained(keel.TargetInstance, string(m.Instance.Name), nil) || p.drained(keel.TargetDomain, string(m.Instance.Domain), nil),
+		Capacity: 1,
+	}
+	slots, free := 0, 0
+	for _, room := range m.Rooms {
+		slots += room.Slots
+		free += room.Free
+		if room.Slots > 0 {
+			c.Owns = append(c.Owns, room.Service)
+		}
+	}
+	if slots > 0 {
+		c.Busy = 1 - float64(free)/float64(slots)
+	}
+	return c
+}
