--- /dev/null
+++ b/cmd/greengagekeel/main.go
@@ -0,0 +1,14 @@
+// Command greengagekeel is an instance of a global traffic steering system, and
+// the tool of its operators.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/greengagekeel/greengagekeel/keelcommand"
+)
+
+func main() {
+	os.Exit(keelcommand.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/keelcommand/output.go
@@ -0,0 +1,79 @@
+package keelcommand
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/renameio/v2"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeloperate"
+	"github.com/olekukonko/tablewriter"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	filePermissions = 0o644
+	jsonIndent      = "  "
+)
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", jsonIndent)
+	return enc.Encode(v)
+}
+
+func writeJSONFile(name string, v any) error {
+	data, err := json.MarshalIndent(v, "", jsonIndent)
+	if err != nil {
+		return errors.Wrapf(err, "encode %T", v)
+	}
+	if err := renameio.WriteFile(name, append(data, '\n'), filePermissions); err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	return nil
+}
+
+// table writes rows under a header.
+func table(w io.Writer, header []string, rows [][]string) error {
+	t := tablewriter.NewTable(w)
+	t.Header(header)
+	if err := t.Bulk(rows); err != nil {
+		return err
+	}
+	return t.Render()
+}
+
+func wantsJSON(cmd *cli.Command) bool { return cmd.String(flagOutput) == "json" }
+
+// client returns a client of the operator port that the flags name.
+func client(cmd *cli.Command) (*keeloperate.Client, error) {
+	addr, err := parseAddress(flagOperator, cmd.String(flagOperator))
+	if err != nil {
+		return nil, err
+	}
+	c := &keeloperate.Client{Address: addr}
+	if file := cmd.String(flagToken); file != "" {
+		token, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fail(ExitUsage, errors.Wrap(err, "operator token"), "name the file operator.token that greengagekeel keys made")
+		}
+		c.Token = strings.TrimSpace(string(token))
+	}
+	return c, nil
+}
+
+// callError turns a failed call into an exit code and advice.
+func callError(err error) error {
+	var problem *keeloperate.ProblemError
+	if errors.As(err, &problem) {
+		code, advice := ExitFailed, "see the error; the instance refused the call"
+		if problem.Problem.Verdict == keel.MayHaveRun {
+			code, advice = ExitUnknown, "run the same command again: a change that was accepted is not applied twice"
+		}
+		return fail(code, err, advice)
+	}
+	return fail(ExitUnknown, err, "check that --operator names a running instance, then run the same command again")
+}
--- /dev/null
+++ b/keelinstance/holders.go
@@ -0,0 +1,69 @@
+package keelinstance
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelclaim"
+)
+
+// holderSets keeps the present and former claim holders of each failure domain,
+// since a claim needs a majority of each set that was registered within the
+// retention. It is safe for use by several goroutines.
+type holderSets struct {
+	declared func() *keel.Declarations
+
+	mu      sync.Mutex
+	current map[keel.DomainName]keelclaim.Set
+	former  map[keel.DomainName][]keelclaim.Set
+}
+
+func newHolderSets(declared func() *keel.Declarations) *holderSets {
+	h := &holderSets{
+		declared: declared,
+		current:  make(map[keel.DomainName]keelclaim.Set),
+		former:   make(map[keel.DomainName][]keelclaim.Set),
+	}
+	h.update(time.Time{}, declared())
+	return h
+}
+
+// update takes in the registered instances of new declarations.
+func (h *holderSets) update(now time.Time, d *keel.Declarations) {
+	next := make(map[keel.DomainName][]keel.InstanceName)
+	for _, in := range d.Instances {
+		next[in.Domain] = append(next[in.Domain], in.Name)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for domain, names := range next {
+		old, known := h.current[domain]
+		if known && slices.Equal(old.Holders, names) {
+			continue
+		}
+		if known && len(old.Holders) > 0 {
+			old.Until = now
+			h.former[domain] = append(h.former[domain], old)
+		}
+		h.current[domain] = keelclaim.Set{Holders: names, Since: now}
+	}
+}
+
+// sets returns the present set of a domain and the former ones within the
+// retention.
+func (h *holderSets) sets(domain keel.DomainName) []keelclaim.Set {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current, ok := h.current[domain]
+	if !ok {
+		return nil
+	}
+	now := time.Now()
+	former := slices.DeleteFunc(h.former[domain], func(s keelclaim.Set) bool {
+		return now.Sub(s.Until) > claimRetention
+	})
+	h.former[domain] = former
+	return append([]keelclaim.Set{current}, former...)
+}
--- /dev/null
+++ b/keelinstance/state.go
@@ -0,0 +1,95 @@
+package keelinstance
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
+	"github.com/greengagekeel/greengagekeel/keelmember"
+	"github.com/greengagekeel/greengagekeel/keeloperate"
+	"github.com/greengagekeel/greengagekeel/keelquorum"
+	"github.com/greengagekeel/greengagekeel/keelsteer"
+)
+
+// Dump is the state of an instance.
+type Dump struct {
+	Instance  keel.Instance            `json:"instance"`
+	Addresses Addresses                `json:"addresses"`
+	Time      time.Time                `json:"time"`
+	Ready     string                   `json:"ready"`
+	Leaving   bool                     `json:"leaving"`
+	InFlight  int64                    `json:"in_flight"`
+	Version   keel.Version             `json:"version"`
+	Process   ProcessDump              `json:"process"`
+	Members   *keelmember.View         `json:"members"`
+	Quorum    *keelquorum.Status       `json:"quorum,omitempty"`
+	Machine   *keeldeclare.MachineDump `json:"machine,omitempty"`
+	Replica   keeldeclare.ReplicaDump  `json:"replica"`
+	Steering  keelsteer.Dump           `json:"steering"`
+	Claims    any                      `json:"claims"`
+	Guard     any                      `json:"guard"`
+}
+
+// ProcessDump is what the process uses.
+type ProcessDump struct {
+	Goroutines int    `json:"goroutines"`
+	HeapBytes  uint64 `json:"heap_bytes"`
+}
+
+// stateDump gives the operator port the state of an instance. It implements
+// [keeloperate.State].
+type stateDump struct{ in *Instance }
+
+// Dump returns the state of every part.
+func (s stateDump) Dump() any {
+	in := s.in
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	d := Dump{
+		Instance:  in.self,
+		Addresses: in.Addresses(),
+		Time:      time.Now().UTC(),
+		Ready:     "ready",
+		Leaving:   in.leaving.Load(),
+		InFlight:  in.front.InFlight(),
+		Version:   in.control.replica.Current().Version,
+		Process:   ProcessDump{Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc},
+		Members:   in.members.View(),
+		Replica:   in.control.replica.Dump(),
+		Steering:  in.engine.Dump(),
+		Claims:    in.claims.Dump(),
+		Guard:     in.guard.Dump(),
+	}
+	if err := s.Ready(); err != nil {
+		d.Ready = err.Error()
+	}
+	if in.control.node != nil {
+		status := in.control.node.Status()
+		machine := in.control.machine.Dump()
+		d.Quorum, d.Machine = &status, &machine
+	}
+	return d
+}
+
+// Ready returns why the instance can't serve callers, or nil.
+func (s stateDump) Ready() error {
+	if s.in.leaving.Load() {
+		return errors.New("the instance is leaving")
+	}
+	if s.in.control.replica.Current().Version == 0 {
+		return errors.New("no declarations are in force yet")
+	}
+	return nil
+}
+
+func (in *Instance) newOperatorApp() *fiber.App {
+	return keeloperate.NewApp(keeloperate.Config{
+		Control: in.control,
+		State:   stateDump{in},
+		Metrics: in.metrics.handler(),
+		Token:   in.cfg.Keys.OperatorToken,
+	})
+}
--- /dev/null
+++ b/keelinstance/world.go
@@ -0,0 +1,187 @@
+package keelinstance
+
+import (
+	"net/netip"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
+	"github.com/greengagekeel/greengagekeel/keelendpoint"
+	"github.com/greengagekeel/greengagekeel/keelmember"
+	"github.com/greengagekeel/greengagekeel/keelsteer"
+)
+
+// staleAfter is how long after the last sign of a working majority of voters
+// the declarations count as possibly out of date.
+const staleAfter = 15 * time.Second
+
+func (in *Instance) declarations() *keel.Declarations {
+	return in.control.replica.Current().Declarations
+}
+
+// onDeclared is called with every new state of the declarations.
+func (in *Instance) onDeclared(s *keeldeclare.Snapshot) {
+	in.log.WithField("version", s.Version).Info("declarations in force")
+	if in.holders != nil {
+		in.holders.update(time.Now(), s.Declarations)
+	}
+	in.replan()
+	if in.members != nil {
+		in.members.Changed()
+	}
+}
+
+// replan is called from parts that are made before the engine.
+func (in *Instance) replan() {
+	if in.engine != nil {
+		in.engine.Changed()
+	}
+}
+
+// local is what heartbeats tell about this instance.
+func (in *Instance) local() keelmember.Local {
+	l := keelmember.Local{
+		Version: in.control.replica.Current().Version,
+		Leaving: in.leaving.Load(),
+	}
+	if in.engine == nil {
+		return l
+	}
+	for _, r := range in.engine.Rooms() {
+		l.Room = append(l.Room, keelmember.ServiceRoom{
+			Service: r.Service, Slots: r.Slots, Free: r.Free, QueueDelay: r.QueueDelay,
+		})
+	}
+	return l
+}
+
+func (in *Instance) resolve(name keel.InstanceName) (netip.AddrPort, bool) {
+	if in.members == nil {
+		return netip.AddrPort{}, false
+	}
+	return in.members.View().Resolve(name)
+}
+
+// voters returns the peer addresses of known voters.
+func (in *Instance) voters() []netip.AddrPort {
+	var out []netip.AddrPort
+	view := in.members.View()
+	for _, m := range view.Domain {
+		if m.Instance.Voter && m.Instance.Name != in.self.Name {
+			out = append(out, m.Instance.Peer)
+		}
+	}
+	for _, d := range view.Domains() {
+		for _, m := range view.Members(d.Domain) {
+			if m.Instance.Voter {
+				out = append(out, m.Instance.Peer)
+			}
+		}
+	}
+	return out
+}
+
+func (in *Instance) domainMembers() []keelendpoint.Member {
+	var out []keelendpoint.Member
+	for _, m := range in.members.View().Members(in.self.Domain) {
+		if m.Instance.Name != in.self.Name {
+			out = append(out, keelendpoint.Member{Name: m.Instance.Name, Peer: m.Instance.Peer})
+		}
+	}
+	return out
+}
+
+// view returns what the engine decides from.
+func (in *Instance) view() *keelsteer.View {
+	v := in.members.View()
+	now := time.Now()
+	out := &keelsteer.View{}
+	if age, ok := v.Staleness(now); !ok || age > staleAfter {
+		out.Stale = true
+	}
+	own := keelsteer.Domain{Name: in.self.Domain}
+	own.Members = membersOf(now, v.Members(in.self.Domain))
+	out.Domains = append(out.Domains, own)
+	for _, d := range v.Domains() {
+		out.Domains = append(out.Domains, keelsteer.Domain{
+			Name:    d.Domain,
+			Members: membersOf(now, v.Members(d.Domain)),
+			Rooms:   roomsOf(d.Digest.Room),
+			Age:     keel.Duration(d.Age(now)),
+		})
+	}
+	return out
+}
+
+func membersOf(now time.Time, members []keelmember.Member) []keelsteer.Member {
+	out := make([]keelsteer.Member, 0, len(members))
+	for _, m := range members {
+		out = append(out, keelsteer.Member{
+			Instance: m.Instance,
+			Leaving:  m.State == keelmember.StateLeaving,
+			Rooms:    roomsOf(m.Room),
+			Age:      keel.Duration(now.Sub(m.Heard)),
+		})
+	}
+	return out
+}
+
+func roomsOf(rooms []keelmember.ServiceRoom) []keelsteer.Room {
+	out := make([]keelsteer.Room, 0, len(rooms))
+	for _, r := range rooms {
+		out = append(out, keelsteer.Room{Service: r.Service, Slots: r.Slots, Free: r.Free, QueueDelay: r.QueueDelay})
+	}
+	return out
+}
+
+func (in *Instance) domains() []keel.DomainName {
+	var out []keel.DomainName
+	for _, d := range in.declarations().Domains {
+		out = append(out, d.Name)
+	}
+	return out
+}
+
+func (in *Instance) registeredHere() []keel.InstanceName {
+	var out []keel.InstanceName
+	for _, r := range in.declarations().Instances {
+		if r.Domain == in.self.Domain {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
+// guardPeers returns the instances that poison evidence is shared with: those
+// of the own failure domain and one of each other domain.
+func (in *Instance) guardPeers() []keel.InstanceName {
+	var out []keel.InstanceName
+	v := in.members.View()
+	for _, m := range v.Members(in.self.Domain) {
+		if m.Instance.Name != in.self.Name {
+			out = append(out, m.Instance.Name)
+		}
+	}
+	for _, d := range v.Domains() {
+		if members := v.Members(d.Domain); len(members) > 0 {
+			out = append(out, members[0].Instance.Name)
+		}
+	}
+	return out
+}
+
+// lifted returns the fingerprints that operators have lifted.
+func (in *Instance) lifted() []string {
+	var out []string
+	d := in.declarations()
+	for _, s := range d.Services {
+		if fp := d.LabelsOf(keel.TargetService, string(s.Name), nil)[keel.LabelPoisonLift]; fp != "" {
+			out = append(out, fp)
+		}
+	}
+	return out
+}
+
+func (in *Instance) barrierLifted() bool {
+	return in.declarations().LabelsOf(keel.TargetDomain, string(in.self.Domain), nil).On(keel.LabelClaimBarrierLift)
+}
--- a/keeloperate/app.go
+++ b/keeloperate/app.go
@@ -67,10 +67,10 @@
 	Version keel.Version `json:"version"`
 	// Everywhere says that every live instance reports the version.
 	Everywhere bool `json:"everywhere"`
-	// Instances is the number of live instances.
-	Instances int `json:"instances"`
 	// Lagging names live instances that report a lower version.
 	Lagging []keel.InstanceName `json:"lagging,omitempty"`
+	// Unheard names failure domains that were not heard of lately.
+	Unheard []keel.DomainName `json:"unheard,omitempty"`
 }
 
 // Check reports nothing.
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -77,6 +77,8 @@
 	Hops int `cbor:"14,keyasint,omitempty"`
 	// Excluded lists endpoints that must not get the request.
 	Excluded []keel.EndpointID `cbor:"15,keyasint,omitempty"`
+	// Via is the failure domain of the instance that sent the request here.
+	Via keel.DomainName `cbor:"16,keyasint,omitempty"`
 
 	Key      string    `cbor:"-"`
 	Ticket   string    `cbor:"-"`
--- /dev/null
+++ b/keelsteer/credits.go
@@ -0,0 +1,242 @@
+package keelsteer
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelroute"
+)
+
+// creditPeriod is how often wants and grants are exchanged.
+const creditPeriod = 500 * time.Millisecond
+
+// wantMargin is how much more room is asked for than is used.
+const wantMargin = 1.25
+
+// creditNote carries the wants of one instance to the instances of another
+// failure domain, or the grants of one of them back.
+type creditNote struct {
+	Domain keel.DomainName   `cbor:"1,keyasint"`
+	Wants  []keeladmit.Want  `cbor:"2,keyasint,omitempty"`
+	Grants []keeladmit.Grant `cbor:"3,keyasint,omitempty"`
+}
+
+// Check reports the faults of the note.
+func (n *creditNote) Check() keel.Faults {
+	fs := keel.CheckName("domain", n.Domain)
+	for i := range n.Wants {
+		fs.Under("wants", n.Wants[i].Check())
+	}
+	for i := range n.Grants {
+		fs.Under("grants", n.Grants[i].Check())
+	}
+	return fs
+}
+
+// creditBook holds what this instance granted and was granted. It is safe for
+// use by several goroutines.
+type creditBook struct {
+	mu      *sync.Mutex
+	wallet  *keeladmit.Wallet
+	grantor *keeladmit.Grantor
+	// wanted holds what each instance of another domain asked for last.
+	wanted map[wantKey]wantEntry
+}
+
+type wantKey struct {
+	from    keel.InstanceName
+	service keel.ServiceName
+}
+
+type wantEntry struct {
+	domain keel.DomainName
+	slots  int
+	at     time.Time
+}
+
+func newCreditBook(self keel.InstanceName) creditBook {
+	return creditBook{
+		mu:      &sync.Mutex{},
+		wallet:  keeladmit.NewWallet(self),
+		grantor: keeladmit.NewGrantor(keeladmit.GrantorConfig{Self: self}),
+		wanted:  make(map[wantKey]wantEntry),
+	}
+}
+
+func (b *creditBook) take(now time.Time, domain keel.DomainName, service keel.ServiceName) (keel.InstanceName, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.wallet.Take(now, domain, service)
+}
+
+func (b *creditBook) release(domain keel.DomainName, service keel.ServiceName, grantor keel.InstanceName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wallet.Release(domain, service, grantor)
+}
+
+// receive takes a note of another instance.
+func (b *creditBook) receive(now time.Time, from keel.InstanceName, n *creditNote) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range n.Wants {
+		b.wanted[wantKey{from, w.Service}] = wantEntry{domain: n.Domain, slots: w.Slots, at: now}
+	}
+	for _, g := range n.Grants {
+		b.wallet.Receive(now, n.Domain, g)
+	}
+}
+
+// wantTTL is how long a want counts that is not renewed.
+const wantTTL = 3 * time.Second
+
+// domainWant is what all instances of a domain together want of a service.
+type domainWant struct {
+	domain  keel.DomainName
+	service keel.ServiceName
+}
+
+func (b *creditBook) sums(now time.Time) map[domainWant]int {
+	sums := make(map[domainWant]int)
+	for k, w := range b.wanted {
+		if now.Sub(w.at) > wantTTL {
+			delete(b.wanted, k)
+			continue
+		}
+		sums[domainWant{w.domain, k.service}] += w.slots
+	}
+	return sums
+}
+
+// HandleMessage takes the credit notes of other instances. It implements
+// [keel.Handler] for [keel.KindCredit].
+func (e *Engine) HandleMessage(_ context.Context, env keel.Envelope) (keel.Envelope, error) {
+	var n creditNote
+	if err := keel.DecodeCBOR(env.Body, &n); err != nil {
+		return keel.Envelope{}, err
+	}
+	e.credits.receive(time.Now(), env.From, &n)
+	return keel.Envelope{}, nil
+}
+
+func (l loop) runCredits() {
+	ticker := time.NewTicker(creditPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.e.sendWants(l.ctx, now)
+			l.e.sendGrants(l.ctx, now)
+		}
+	}
+}
+
+// sendWants tells the instances of other domains how much room this instance
+// would like to have there.
+func (e *Engine) sendWants(ctx context.Context, now time.Time) {
+	p := e.plan.Load()
+	for domain, wants := range e.wants(p) {
+		note := &creditNote{Domain: e.cfg.Self.Domain, Wants: wants}
+		e.notify(ctx, p, domain, note)
+	}
+	_ = now
+}
+
+func (e *Engine) wants(p *plan) map[keel.DomainName][]keeladmit.Want {
+	sums := make(map[domainWant]float64)
+	e.mu.Lock()
+	for src := range e.demand {
+		sel := p.byName[src.Selector]
+		if sel == nil {
+			continue
+		}
+		total := e.totalDemand(src)
+		for _, w := range e.shares.Vector(src) {
+			if w.Domain != e.cfg.Self.Domain && w.Weight > 0 {
+				sums[domainWant{w.Domain, sel.Service}] += max(w.Weight*total, e.demandAt(src, w.Domain))
+			}
+		}
+	}
+	e.mu.Unlock()
+	out := make(map[keel.DomainName][]keeladmit.Want)
+	for k, slots := range sums {
+		want := keeladmit.Want{Domain: e.cfg.Self.Domain, Service: k.service, Slots: 1 + int(math.Ceil(slots*wantMargin))}
+		out[k.domain] = append(out[k.domain], want)
+	}
+	return out
+}
+
+func (e *Engine) totalDemand(src keelroute.Source) float64 {
+	total := 0.0
+	for _, l := range e.demand[src] {
+		total += l.average
+	}
+	return total
+}
+
+func (e *Engine) demandAt(src keelroute.Source, domain keel.DomainName) float64 {
+	if l := e.demand[src][domain]; l != nil {
+		return max(l.average, float64(l.now))
+	}
+	return 0
+}
+
+// sendGrants grants the wants of other domains out of the room of the endpoints
+// that this instance owns.
+func (e *Engine) sendGrants(ctx context.Context, now time.Time) {
+	p := e.plan.Load()
+	notes := make(map[keel.DomainName]*creditNote)
+	e.credits.mu.Lock()
+	for k, slots := range e.credits.sums(now) {
+		want := keeladmit.Want{Domain: k.domain, Service: k.service, Slots: slots}
+		e.credits.grantor.SetWant(now, want, p.registered(k.domain))
+	}
+	for service, pl := range p.pools {
+		e.credits.grantor.SetSpare(service, e.spare(now, service, pl))
+		for _, g := range e.credits.grantor.Grants(now, service) {
+			if notes[g.Domain] == nil {
+				notes[g.Domain] = &creditNote{Domain: e.cfg.Self.Domain}
+			}
+			notes[g.Domain].Grants = append(notes[g.Domain].Grants, g)
+		}
+	}
+	e.credits.mu.Unlock()
+	for domain, note := range notes {
+		e.notify(ctx, p, domain, note)
+	}
+}
+
+// spare returns how many slots requests of other domains may use: all but those
+// that the own domain's requests use, as far as that can be told.
+func (e *Engine) spare(now time.Time, service keel.ServiceName, pl *pool) int {
+	room := pl.room(now, service)
+	busy := room.Slots - room.Free
+	local := max(0, busy-e.credits.grantor.Granted(now, service))
+	if room.QueueDelay > 0 || e.leaving.Load() {
+		return 0
+	}
+	return room.Slots - local
+}
+
+func (e *Engine) notify(ctx context.Context, p *plan, domain keel.DomainName, note *creditNote) {
+	d := p.view.domain(domain)
+	if d == nil {
+		return
+	}
+	body, err := keel.EncodeCBOR(note)
+	if err != nil {
+		e.cfg.Log.WithError(err).Error("credit note not encoded")
+		return
+	}
+	for _, m := range d.Members {
+		if err := e.cfg.Transport.Send(ctx, m.Instance.Peer, keel.Envelope{Kind: keel.KindCredit, Body: body}); err != nil {
+			e.cfg.Log.WithError(err).WithField("to", m.Instance.Name).Debug("credit note not sent")
+		}
+	}
+}
--- /dev/null
+++ b/keelsteer/dispatched.go
@@ -0,0 +1,101 @@
+package keelsteer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+)
+
+// dispatched is one request at an endpoint, from its first byte to the end of
+// its answer.
+type dispatched struct {
+	e      *Engine
+	ctx    context.Context
+	pool   *pool
+	target keelproxy.Target
+	fp     keelguard.ID
+	start  time.Time
+	once   sync.Once
+}
+
+// failed ends a request that got no answer.
+func (x *dispatched) failed(err error) {
+	refusal := keelproxy.AsRefusal(err)
+	outcome := keeladmit.OutcomeFailed
+	switch {
+	case x.ctx.Err() != nil:
+		outcome = keeladmit.OutcomeCancelled
+		x.e.cfg.Guard.Ended(x.fp, x.target.ID)
+	case refusal.Verdict == keel.MayHaveRun:
+		x.e.cfg.Guard.Died(x.fp, x.target.ID)
+		x.probe()
+	default:
+		x.e.cfg.Guard.Ended(x.fp, x.target.ID)
+	}
+	x.end(outcome)
+}
+
+// probe tells the guard whether the endpoint takes a new connection.
+func (x *dispatched) probe() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), probeTimeout)
+	defer cancel()
+	err := x.e.client.Probe(ctx, x.target)
+	x.e.cfg.Guard.Confirmed(x.target.ID, err == nil)
+}
+
+func (x *dispatched) end(o keeladmit.Outcome) {
+	x.once.Do(func() {
+		elapsed := time.Since(x.start)
+		x.pool.release(x.target.ID, o, elapsed)
+		if o == keeladmit.OutcomeCancelled {
+			return
+		}
+		x.e.observe(x.target.ID, o == keeladmit.OutcomeOK, elapsed)
+	})
+}
+
+func (e *Engine) observe(id keel.EndpointID, ok bool, latency time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.eject.Observe(time.Now(), id, ok, latency)
+}
+
+// observedBody is the body of an endpoint's answer. It ends the request when it
+// is closed.
+type observedBody struct {
+	io.ReadCloser
+	x   *dispatched
+	err error
+}
+
+// Read notes whether the answer broke off.
+func (b *observedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !(errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)) {
+		b.err = err
+	}
+	return n, err
+}
+
+// Close closes the body and gives the slot back.
+func (b *observedBody) Close() error {
+	err := b.ReadCloser.Close()
+	switch {
+	case b.err != nil && b.x.ctx.Err() == nil:
+		b.x.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
+	case b.err != nil:
+		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
+		b.x.end(keeladmit.OutcomeCancelled)
+	default:
+		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
+		b.x.end(keeladmit.OutcomeOK)
+	}
+	return err
+}
--- /dev/null
+++ b/keelsteer/domain.go
@@ -0,0 +1,206 @@
+package keelsteer
+
+import (
+	"context"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+)
+
+// runForwarded runs a request that another instance sent here, at an endpoint
+// that this instance owns or else at the owner.
+func (e *Engine) runForwarded(ctx context.Context, p *plan, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	sel := p.byName[r.Selector]
+	if sel == nil {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonNoSelector, 0, "selector %q is not in force at instance %q", r.Selector, e.cfg.Self.Name)
+	}
+	answer, err := e.runHere(ctx, p, sel, r)
+	if err != nil {
+		return nil, err
+	}
+	if from := p.regions[r.Via]; from != "" && from != e.cfg.Self.Region {
+		paced := &pacedBody{r: answer.Body, ctx: ctx, book: &e.links, to: from, selector: sel.Name}
+		answer.Body = &pacedAnswer{pacedBody: paced, Closer: answer.Body}
+	}
+	return answer, nil
+}
+
+func (e *Engine) runHere(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	if p.ownsAny(e.cfg.Self.Name, sel.Name) || r.Hops > 1 {
+		return e.runOwned(ctx, p, sel, r)
+	}
+	return e.runDomain(ctx, p, sel, r)
+}
+
+func (p *plan) ownsAny(self keel.InstanceName, sel keel.SelectorName) bool {
+	for _, o := range p.owners[sel] {
+		if o.instance.Name == self {
+			return true
+		}
+	}
+	return false
+}
+
+// runDomain runs a request in the own failure domain, at the least busy of the
+// instances that own endpoints for it.
+func (e *Engine) runDomain(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	o, ok := e.chooseOwner(p, sel)
+	if !ok {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonNoEndpoint, planPeriod, "no endpoint in failure domain %q matches selector %q", e.cfg.Self.Domain, sel.Name)
+	}
+	if o.instance.Name == e.cfg.Self.Name {
+		return e.runOwned(ctx, p, sel, r)
+	}
+	return e.send(ctx, o.instance, r)
+}
+
+// send forwards a request and counts it until its answer ends.
+func (e *Engine) send(ctx context.Context, to keel.Instance, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	e.countSent(to.Name, 1)
+	r.Via = e.cfg.Self.Domain
+	answer, err := e.forward.Forward(ctx, to.Peer, r)
+	if err != nil {
+		e.countSent(to.Name, -1)
+		return nil, err
+	}
+	answer.Body = onClose(answer.Body, func() { e.countSent(to.Name, -1) })
+	return answer, nil
+}
+
+func (e *Engine) countSent(to keel.InstanceName, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent[to] += n
+	if e.sent[to] == 0 {
+		delete(e.sent, to)
+	}
+}
+
+// chooseOwner returns the owner with the smallest use of its slots, out of two
+// that are drawn by their slots. This instance is taken if it has a free slot,
+// since that saves a hop.
+func (e *Engine) chooseOwner(p *plan, sel *keel.Selector) (owner, bool) {
+	list := p.owners[sel.Name]
+	if len(list) == 0 {
+		return owner{}, false
+	}
+	for _, o := range list {
+		if o.instance.Name == e.cfg.Self.Name && p.pools[sel.Service].room(time.Now(), sel.Service).Free > 0 {
+			return o, true
+		}
+	}
+	a, b := e.drawOwner(list), e.drawOwner(list)
+	if e.use(p, sel.Service, b) < e.use(p, sel.Service, a) {
+		return b, true
+	}
+	return a, true
+}
+
+// drawOwner draws an owner in proportion to its slots.
+func (e *Engine) drawOwner(list []owner) owner {
+	total := 0
+	for _, o := range list {
+		total += o.slots
+	}
+	at := int(e.random() % uint64(max(total, 1)))
+	for _, o := range list {
+		if at -= o.slots; at < 0 {
+			return o
+		}
+	}
+	return list[len(list)-1]
+}
+
+// use returns the part of an owner's slots that is taken. What this instance
+// has sent there itself counts at least, whatever the owner reports.
+func (e *Engine) use(p *plan, service keel.ServiceName, o owner) float64 {
+	if o.instance.Name == e.cfg.Self.Name {
+		room := p.pools[service].room(time.Now(), service)
+		return useOf(room, 0)
+	}
+	e.mu.Lock()
+	sent := e.sent[o.instance.Name]
+	e.mu.Unlock()
+	room := Room{Slots: o.slots, Free: o.slots}
+	if d := p.view.domain(e.cfg.Self.Domain); d != nil {
+		if m := d.member(o.instance.Name); m != nil {
+			room = roomOf(m.Rooms, service)
+		}
+	}
+	return useOf(room, sent)
+}
+
+func useOf(room Room, sent int) float64 {
+	if room.Slots == 0 {
+		return 1 + float64(sent)
+	}
+	busy := max(room.Slots-room.Free, sent)
+	wait := room.QueueDelay.Std().Seconds()
+	return float64(busy)/float64(room.Slots) + wait
+}
+
+// runOwned waits for a slot of an owned endpoint and dispatches the request
+// there, and once more elsewhere if the verdict allows it.
+func (e *Engine) runOwned(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	pl := p.pools[sel.Service]
+	if pl == nil {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonUnknownService, 0, "service %q is not declared", sel.Service)
+	}
+	body := trackBody(r)
+	item := keeladmit.Item{Class: sel.Class, Deadline: r.Deadline, Labels: sel.Endpoints, Selector: sel.Name}
+	for try := 1; ; try++ {
+		retry, err := e.guard(ctx, r, &item)
+		if err != nil {
+			return nil, err
+		}
+		t, refusal := pl.acquire(ctx, item)
+		if refusal != nil {
+			return nil, refusal
+		}
+		answer, err := e.dispatch(ctx, pl, t, r)
+		if err == nil {
+			return answer, nil
+		}
+		if try == maxTries || !retry || !e.mayRetry(ctx, r, err, body.touched()) {
+			return nil, err
+		}
+		item.Avoid = t.ID.Name
+	}
+}
+
+// guard asks whether the request may be dispatched and which endpoint it must
+// avoid. It reports whether the request may be dispatched again if it fails.
+func (e *Engine) guard(ctx context.Context, r *keelproxy.Request, item *keeladmit.Item) (retry bool, err error) {
+	fp := keelguard.ID(r.Fingerprint)
+	d := e.cfg.Guard.Before(fp)
+	if d.AskHome {
+		if err := e.cfg.Guard.Permit(ctx, fp); err != nil {
+			return false, err
+		}
+		d.Allow = true
+	}
+	if !d.Allow && d.Refuse != nil {
+		return false, d.Refuse
+	}
+	for _, id := range d.AvoidEndpoints {
+		item.Avoid = id.Name
+	}
+	return !d.NoRetry, nil
+}
+
+// dispatch sends the request to an endpoint whose slot it holds. The slot is
+// given back when the answer ends.
+func (e *Engine) dispatch(ctx context.Context, pl *pool, t keelproxy.Target, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	x := &dispatched{e: e, ctx: ctx, pool: pl, target: t, fp: keelguard.ID(r.Fingerprint), start: time.Now()}
+	e.cfg.Guard.Started(x.fp, t.ID)
+	answer, err := e.client.Dispatch(ctx, t, r)
+	if err != nil {
+		x.failed(err)
+		return nil, err
+	}
+	answer.Body = &observedBody{ReadCloser: answer.Body, x: x}
+	return answer, nil
+}
--- /dev/null
+++ b/keelsteer/drain.go
@@ -0,0 +1,64 @@
+package keelsteer
+
+import (
+	"sync"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// DrainState says how far the drain of an endpoint is.
+type DrainState struct {
+	Endpoint keel.EndpointID `json:"endpoint"`
+	// Since is when the endpoint stopped taking new work.
+	Since time.Time `json:"since"`
+	// Took is the time until its last request here had ended.
+	Took keel.Duration `json:"took,omitempty"`
+	Done bool          `json:"done"`
+}
+
+// drainLog notes when endpoints stopped taking new work and when their last
+// request ended. It is safe for use by several goroutines.
+type drainLog struct {
+	mu     sync.Mutex
+	states map[keel.EndpointID]*DrainState
+}
+
+// note records whether an endpoint takes new work.
+func (l *drainLog) note(now time.Time, id keel.EndpointID, drain bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !drain {
+		delete(l.states, id)
+		return
+	}
+	if l.states == nil {
+		l.states = make(map[keel.EndpointID]*DrainState)
+	}
+	if l.states[id] == nil {
+		l.states[id] = &DrainState{Endpoint: id, Since: now}
+	}
+}
+
+// ended records that an endpoint has nothing in flight.
+func (l *drainLog) ended(now time.Time, id keel.EndpointID) (DrainState, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.states[id]
+	if s == nil || s.Done {
+		return DrainState{}, false
+	}
+	s.Done = true
+	s.Took = keel.Duration(now.Sub(s.Since))
+	return *s, true
+}
+
+func (l *drainLog) list() []DrainState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]DrainState, 0, len(l.states))
+	for _, s := range l.states {
+		out = append(out, *s)
+	}
+	return out
+}
--- /dev/null
+++ b/keelsteer/keyed.go
@@ -0,0 +1,173 @@
+package keelsteer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelclaim"
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/zeebo/xxh3"
+)
+
+// settleTimeout limits the recording of an outcome, which goes on after the
+// caller has left.
+const settleTimeout = 2 * time.Second
+
+// runKeyed runs an at-most-once request: it claims the request's key, runs the
+// request, and records the outcome.
+func (e *Engine) runKeyed(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	if r.Key == "" {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonKeyMissing, 0,
+			"selector %q runs requests at most once; header %s must hold a key", sel.Name, keelproxy.HeaderKey)
+	}
+	hash, err := holdBody(r, e.cfg.MaxKeyedBytes)
+	if err != nil {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "body of request %q: %v", r.ID, err)
+	}
+	r.Fingerprint = uint64(keelguard.Fingerprint(r.Service, r.Method, r.URI, r.Key, hash))
+	grant, err := e.cfg.Claims.Claim(ctx, keelclaim.Request{
+		Service:  r.Service,
+		Caller:   callerIdentity(r),
+		Key:      r.Key,
+		BodyHash: hash,
+		Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if recorded, ok := grant.Answer(); ok {
+		return replay(recorded), nil
+	}
+	k := &keyedRun{e: e, ctx: ctx, grant: grant}
+	return k.run(p, sel, r)
+}
+
+// callerIdentity returns what tells callers apart who may use equal keys.
+func callerIdentity(r *keelproxy.Request) string {
+	credential, ok := keelproxy.Lookup(r.Header, "Authorization")
+	if !ok {
+		return ""
+	}
+	return strconv.FormatUint(xxh3.HashString(credential), 16)
+}
+
+// holdBody reads up to limit bytes of the body into memory and returns a hash
+// of them and of the body's length. A body that fits can be sent again.
+func holdBody(r *keelproxy.Request, limit int) (uint64, error) {
+	if !r.HasBody() {
+		return xxh3.HashString(r.URI), nil
+	}
+	head, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return 0, errors.Wrap(err, "read")
+	}
+	h := xxh3.New()
+	_, _ = h.WriteString(r.Method + " " + r.URI + " ") // a hash never fails to write
+	_, _ = h.Write(head)
+	_, _ = h.WriteString(strconv.FormatInt(r.ContentLength, 10))
+	if len(head) > limit {
+		r.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(head), r.Body), rest: r.Body}
+		return h.Sum64(), nil
+	}
+	r.Body = bytes.NewReader(head)
+	r.ContentLength = int64(len(head))
+	return h.Sum64(), nil
+}
+
+// joinedBody is a body whose beginning was read already.
+type joinedBody struct {
+	io.Reader
+	rest io.Reader
+}
+
+// Interrupt ends a read that is under way.
+func (b *joinedBody) Interrupt() {
+	if i, ok := b.rest.(interface{ Interrupt() }); ok {
+		i.Interrupt()
+	}
+}
+
+func replay(a *keelclaim.Answer) *keelproxy.Answer {
+	out := &keelproxy.Answer{
+		Status:        a.Status,
+		ContentLength: int64(len(a.Body)),
+		Body:          io.NopCloser(bytes.NewReader(a.Body)),
+	}
+	for _, f := range a.Header {
+		out.Header = append(out.Header, keelproxy.Field{Name: f.Name, Value: f.Value})
+	}
+	return out
+}
+
+// keyedRun is the one run of a claimed request.
+type keyedRun struct {
+	e     *Engine
+	ctx   context.Context
+	grant *keelclaim.Grant
+}
+
+func (k *keyedRun) run(p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	if !k.grant.Usable() {
+		k.grant.Release(k.settleContext())
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonClaimHome, time.Second, "the claim of the request's key ran out before dispatch")
+	}
+	r.Claimed = true
+	answer, err := k.e.runShared(k.ctx, p, sel, r)
+	if err != nil {
+		k.settleFailure(err)
+		return nil, err
+	}
+	return k.record(answer)
+}
+
+func (k *keyedRun) settleContext() context.Context {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(k.ctx), settleTimeout)
+	context.AfterFunc(ctx, cancel)
+	return ctx
+}
+
+func (k *keyedRun) settleFailure(err error) {
+	if keel.VerdictOf(err) == keel.NotRun {
+		k.grant.Release(k.settleContext())
+		return
+	}
+	k.grant.SettleUnknown(k.settleContext())
+}
+
+// record reads a short answer whole and records it before the caller gets it.
+// Of a long answer only the fact that the request ran is recorded.
+func (k *keyedRun) record(a *keelproxy.Answer) (*keelproxy.Answer, error) {
+	limit := int64(k.e.cfg.MaxAnswerBytes)
+	head, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		_ = a.Body.Close()
+		k.grant.SettleUnknown(k.settleContext())
+		return nil, keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "the answer broke off: %v", err)
+	}
+	if int64(len(head)) > limit {
+		k.grant.SettleRan(k.settleContext())
+		a.Body = &joinedAnswer{Reader: io.MultiReader(bytes.NewReader(head), a.Body), Closer: a.Body}
+		return a, nil
+	}
+	err = a.Body.Close()
+	recorded := keelclaim.Answer{Status: a.Status, Body: head}
+	for _, f := range a.Header {
+		recorded.Header = append(recorded.Header, keelclaim.HeaderField{Name: f.Name, Value: f.Value})
+	}
+	k.grant.Settle(k.settleContext(), recorded)
+	a.Body = io.NopCloser(bytes.NewReader(head))
+	a.ContentLength = int64(len(head))
+	return a, err
+}
+
+// joinedAnswer is an answer's body whose beginning was read already.
+type joinedAnswer struct {
+	io.Reader
+	io.Closer
+}
--- /dev/null
+++ b/keelsteer/links.go
@@ -0,0 +1,132 @@
+package keelsteer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+)
+
+// linkBook holds the byte budgets of the links out of this instance's region.
+// It is safe for use by several goroutines.
+type linkBook struct {
+	region keel.RegionName
+
+	mu      sync.Mutex
+	budgets map[keel.RegionName]*keeladmit.LinkBudget
+	links   map[keel.RegionName]keel.Link
+	senders int
+}
+
+func newLinkBook(region keel.RegionName) linkBook {
+	return linkBook{
+		region:  region,
+		budgets: make(map[keel.RegionName]*keeladmit.LinkBudget),
+		links:   make(map[keel.RegionName]keel.Link),
+	}
+}
+
+// set takes the links, and the shares of the selectors in them, from the
+// declarations. Every registered instance of the region may send, so that each
+// has an equal part.
+func (b *linkBook) set(d *keel.Declarations) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	senders := sendersOf(d, b.region)
+	seen := make(map[keel.RegionName]bool)
+	for _, l := range d.Links {
+		if l.From != b.region {
+			continue
+		}
+		seen[l.To] = true
+		if b.links[l.To] != l || b.senders != senders {
+			b.links[l.To] = l
+			b.budgets[l.To] = keeladmit.NewLinkBudget(keeladmit.LinkConfig{Link: l, Instances: senders})
+		}
+		for i := range d.Selectors {
+			b.budgets[l.To].SetShare(d.Selectors[i].Name, d.Selectors[i].LinkSharePercent)
+		}
+	}
+	b.senders = senders
+	for to := range b.budgets {
+		if !seen[to] {
+			delete(b.budgets, to)
+			delete(b.links, to)
+		}
+	}
+}
+
+// sendersOf counts the registered instances of a region.
+func sendersOf(d *keel.Declarations, region keel.RegionName) int {
+	regions := make(map[keel.DomainName]keel.RegionName, len(d.Domains))
+	for _, v := range d.Domains {
+		regions[v.Name] = v.Region
+	}
+	n := 0
+	for _, in := range d.Instances {
+		if regions[in.Domain] == region {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// take asks to send n bytes to a region. Without a declared link there is no
+// bound.
+func (b *linkBook) take(now time.Time, to keel.RegionName, sel keel.SelectorName, n int) (int, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.budgets[to]
+	if budget == nil {
+		return n, 0
+	}
+	return budget.TakeFor(now, sel, n)
+}
+
+// pacedBody reads a body no faster than the byte budget of a link allows.
+type pacedBody struct {
+	r        io.Reader
+	ctx      context.Context
+	book     *linkBook
+	to       keel.RegionName
+	selector keel.SelectorName
+	rest     int
+}
+
+// shortestPause bounds how often a budget that is used up is asked again.
+const shortestPause = time.Millisecond
+
+// Read waits for the budget, then reads at most what it granted.
+func (b *pacedBody) Read(p []byte) (int, error) {
+	for b.rest == 0 {
+		n, wait := b.book.take(time.Now(), b.to, b.selector, len(p))
+		b.rest = n
+		if n > 0 {
+			break
+		}
+		select {
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		case <-time.After(max(wait, shortestPause)):
+		}
+	}
+	n, err := b.r.Read(p[:min(len(p), b.rest)])
+	b.rest -= n
+	return n, err
+}
+
+// Interrupt ends a read that is under way.
+func (b *pacedBody) Interrupt() {
+	if i, ok := b.r.(interface{ Interrupt() }); ok {
+		i.Interrupt()
+	}
+}
+
+// pacedAnswer is the paced body of an answer.
+type pacedAnswer struct {
+	*pacedBody
+	io.Closer
+}
--- /dev/null
+++ b/keelsteer/lookup.go
@@ -0,0 +1,119 @@
+package keelsteer
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keellookup"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelroute"
+	"github.com/valyala/fasthttp"
+)
+
+// LookupAnswer is the JSON answer to a look-up.
+type LookupAnswer struct {
+	Service keel.ServiceName `json:"service"`
+	// Instances lists the instances to use, the best first.
+	Instances []LookupInstance `json:"instances"`
+	// ExpiresIn is how long the answer may be used.
+	ExpiresIn keel.Duration `json:"expires_in"`
+	// ExpiresAt is when that ends, by the clock of the answering instance.
+	ExpiresAt time.Time `json:"expires_at"`
+	// Ticket may be used as the key of one at-most-once request.
+	Ticket string `json:"ticket"`
+}
+
+// Check reports an answer without instances.
+func (a *LookupAnswer) Check() keel.Faults {
+	var fs keel.Faults
+	if len(a.Instances) == 0 {
+		fs.Add("instances", "must not be empty")
+	}
+	return fs
+}
+
+// LookupInstance is one instance in the answer to a look-up.
+type LookupInstance struct {
+	Name    keel.InstanceName `json:"name"`
+	Domain  keel.DomainName   `json:"domain"`
+	Address netip.AddrPort    `json:"address"`
+}
+
+// HandleLookup answers GET /v1/lookup?service=NAME. The optional parameter path
+// names the path of the request to come, method its method.
+func (e *Engine) HandleLookup(fctx *fasthttp.RequestCtx) {
+	if !fctx.IsGet() && !fctx.IsHead() {
+		fctx.Response.Header.Set("Allow", "GET, HEAD")
+		fctx.Error("", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	args := fctx.QueryArgs()
+	r := &keelproxy.Request{
+		Service: keel.ServiceName(args.Peek("service")),
+		Method:  stringOr(args.Peek("method"), fasthttp.MethodGet),
+		URI:     stringOr(args.Peek("path"), "/"),
+		Caller:  callerAddr(fctx),
+	}
+	if fs := keel.CheckName("service", r.Service); len(fs) > 0 {
+		keelproxy.WriteRefusal(fctx, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "query parameter %v", fs))
+		return
+	}
+	answer, refusal := e.lookUp(r)
+	if refusal != nil {
+		keelproxy.WriteRefusal(fctx, refusal)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		fctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	fctx.SetContentType("application/json")
+	fctx.SetBody(body)
+}
+
+func stringOr(b []byte, byDefault string) string {
+	if len(b) == 0 {
+		return byDefault
+	}
+	return string(b)
+}
+
+func callerAddr(fctx *fasthttp.RequestCtx) netip.Addr {
+	ap, err := netip.ParseAddrPort(fctx.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr().Unmap()
+}
+
+// lookUp answers a look-up for a request to come. A source's first look-up
+// starts its share vector like its first request.
+func (e *Engine) lookUp(r *keelproxy.Request) (*LookupAnswer, *keel.Refusal) {
+	p := e.plan.Load()
+	sel, refusal := p.selectorOf(r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	now := time.Now()
+	choose := func(region keel.RegionName, _ uint64) (keel.DomainName, bool) {
+		domain, refusal := e.pick(p, sel, keelroute.Source{Selector: sel.Name, Region: region}, r)
+		return domain, refusal == nil
+	}
+	a := p.lookup.Answer(keellookup.Query{Now: now, Addr: r.Caller, Service: r.Service}, choose)
+	if len(a.Instances) == 0 {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonNoEndpoint, time.Second, "no live instance is known for service %q", r.Service)
+	}
+	out := &LookupAnswer{
+		Service:   r.Service,
+		ExpiresIn: keel.Duration(a.TTL),
+		ExpiresAt: now.Add(a.TTL).UTC(),
+		Ticket:    e.cfg.Claims.NewTicket(now),
+	}
+	for _, in := range a.Instances {
+		out.Instances = append(out.Instances, LookupInstance{Name: in.Name, Domain: in.Domain, Address: in.Caller})
+	}
+	return out, nil
+}
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -110,20 +110,6 @@
 	return nil, keel.Refuse(keel.NotRun, keel.ReasonNoSelector, 0, "no selector of service %q takes %s %s", r.Service, r.Method, path)
 }
 
-// blockTable returns the table of the client blocks in a snapshot. It changes
-// the old plan's table by what is different.
-func blockTable(old *plan, s *keeldeclare.Snapshot) *keellookup.Table {
-	if old == nil || old.snapshot.Blocks == nil || s.Blocks == nil {
-		return keellookup.NewTable(s.Blocks.All())
-	}
-	if old.snapshot == s || old.snapshot.Blocks == s.Blocks {
-		return old.blocks
-	}
-	put := make(map[string]bool)
-	_ = put
-	return updateTable(old.blocks, s.Blocks, old.snapshot.Blocks)
-}
-
 // drained reports whether a label rule drains the thing.
 func (p *plan) drained(target keel.LabelTarget, name string, announced keel.Labels) bool {
 	return p.snapshot.Declarations.LabelsOf(target, name, announced).On(keel.LabelDrain)
@@ -210,6 +196,21 @@
 	for service, pl := range e.pools {
 		pl.set(now, mine[service])
 	}
+	e.noteDrained(now, mine)
+}
+
+// noteDrained logs the endpoints that take no new work and run nothing more.
+func (e *Engine) noteDrained(now time.Time, mine map[keel.ServiceName][]owned) {
+	for service, list := range mine {
+		for _, o := range list {
+			if !o.drain || e.pools[service].inFlight(o.state.ID) > 0 {
+				continue
+			}
+			if s, ok := e.drains.ended(now, o.state.ID); ok {
+				e.cfg.Log.WithField("endpoint", s.Endpoint.String()).WithField("drain_ms", s.Took.Std().Milliseconds()).Info("endpoint drained")
+			}
+		}
+	}
 }
 
 func (e *Engine) drainOf(p *plan, a *keel.Announcement, labels keel.Labels) bool {
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -189,6 +189,12 @@
 	return out
 }
 
+func (p *pool) inFlight(id keel.EndpointID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.InFlight(id)
+}
+
 func (p *pool) waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/keelsteer/run.go
@@ -0,0 +1,161 @@
+package keelsteer
+
+import (
+	"context"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keellookup"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelroute"
+)
+
+// RunRequest runs a request that came from a caller or from another instance.
+func (e *Engine) RunRequest(ctx context.Context, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	p := e.plan.Load()
+	if r.Hops > 0 {
+		return e.runForwarded(ctx, p, r)
+	}
+	sel, refusal := p.selectorOf(r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	e.prepare(p, sel, r)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	answer, err := e.runClass(ctx, p, sel, r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	answer.Body = onClose(answer.Body, cancel)
+	return answer, nil
+}
+
+// prepare fills in what the declarations say of a request.
+func (e *Engine) prepare(p *plan, sel *keel.Selector, r *keelproxy.Request) {
+	if r.Timeout <= 0 {
+		r.Timeout = sel.Deadline.Std()
+	}
+	r.Selector = sel.Name
+	r.Deadline = time.Now().Add(r.Timeout)
+	_, r.Source = p.lookup.Source(r.Caller)
+	r.Fingerprint = uint64(keelguard.Fingerprint(r.Service, r.Method, r.URI, r.Key, uint64(r.ContentLength)))
+}
+
+func (e *Engine) runClass(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	if sel.AtMostOnce() {
+		return e.runKeyed(ctx, p, sel, r)
+	}
+	return e.runShared(ctx, p, sel, r)
+}
+
+// runShared offers the request to the failure domain that the share vector of
+// its source chooses, and again if the verdict allows it.
+func (e *Engine) runShared(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
+	src := keelroute.Source{Selector: sel.Name, Region: r.Source}
+	body := trackBody(r)
+	e.countRequest()
+	for try := 1; ; try++ {
+		domain, refusal := e.pick(p, sel, src, r)
+		if refusal != nil {
+			return nil, refusal
+		}
+		answer, err := e.runIn(ctx, p, sel, r, src, domain)
+		if err == nil {
+			return answer, nil
+		}
+		if try == maxTries || !e.mayRetry(ctx, r, err, body.touched()) {
+			return nil, err
+		}
+	}
+}
+
+func (e *Engine) countRequest() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retry.Request()
+}
+
+// pick returns the failure domain for a request. Callers of one block fall into
+// the same part of the share vector at every instance, so that a caller whom a
+// look-up sent here is served here.
+func (e *Engine) pick(p *plan, sel *keel.Selector, src keelroute.Source, r *keelproxy.Request) (keel.DomainName, *keel.Refusal) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.demand[src]; !known {
+		e.startSource(now, p, sel, src)
+	}
+	domain, ok := e.shares.Pick(now, src, keellookup.BlockKey(r.Caller))
+	if !ok {
+		return "", e.shares.Refusal(now, src)
+	}
+	return domain, nil
+}
+
+// mayRetry reports whether a request that failed may be offered again: it has
+// not run or does no harm if it runs twice, its body is still whole, and the
+// retry budget allows it.
+func (e *Engine) mayRetry(ctx context.Context, r *keelproxy.Request, err error, bodyTouched bool) bool {
+	refusal := keelproxy.AsRefusal(err)
+	if ctx.Err() != nil || bodyTouched || !helps(refusal.Reason) {
+		return false
+	}
+	if refusal.Verdict != keel.NotRun && !r.Safe() {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retry.Retry()
+}
+
+// helps reports whether a request that was refused for this reason may fare
+// better at another endpoint. Queues that are full are not asked again.
+func helps(reason keel.Reason) bool {
+	switch reason {
+	case keel.ReasonEndpointFailed, keel.ReasonPeerFailed, keel.ReasonNoEndpoint, keel.ReasonLeaving, keel.ReasonNoCredit:
+		return true
+	default:
+		return false
+	}
+}
+
+// runIn runs a request in one failure domain and counts it there until its
+// answer ends.
+func (e *Engine) runIn(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request, src keelroute.Source, domain keel.DomainName) (*keelproxy.Answer, error) {
+	done := e.countDemand(src, domain)
+	var (
+		answer *keelproxy.Answer
+		err    error
+	)
+	if domain == e.cfg.Self.Domain {
+		answer, err = e.runDomain(ctx, p, sel, r)
+	} else {
+		answer, err = e.runRemote(ctx, p, sel, r, domain)
+	}
+	if err != nil {
+		done()
+		return nil, err
+	}
+	answer.Body = onClose(answer.Body, done)
+	return answer, nil
+}
+
+// countDemand counts a request of a source at a domain. The function that it
+// returns takes the request off again.
+func (e *Engine) countDemand(src keelroute.Source, domain keel.DomainName) func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.demand[src][domain]
+	if l == nil {
+		l = &load{}
+		e.demand[src][domain] = l
+	}
+	l.now++
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		l.now--
+	}
+}
--- /dev/null
+++ b/keelsteer/silence.go
@@ -0,0 +1,121 @@
+package keelsteer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/sirupsen/logrus"
+)
+
+// Limits of silent connections.
+const (
+	silenceLimit  = time.Second
+	silencePeriod = 100 * time.Millisecond
+)
+
+// silenceWatch tells the silence core what happens on connections to endpoints
+// and carries out what it asks for. It is safe for use by several goroutines.
+type silenceWatch struct {
+	client *keelproxy.EndpointClient
+	log    *logrus.Entry
+
+	mu      sync.Mutex
+	core    *keelguard.Silence
+	targets map[keelguard.Peer]keelproxy.Target
+	retired int
+}
+
+func newSilenceWatch(log *logrus.Entry) *silenceWatch {
+	return &silenceWatch{
+		log:     log,
+		core:    keelguard.NewSilence(keelguard.SilenceConfig{Limit: silenceLimit}),
+		targets: make(map[keelguard.Peer]keelproxy.Target),
+	}
+}
+
+// Opened implements [keelproxy.ConnObserver].
+func (w *silenceWatch) Opened(id uint64, t keelproxy.Target, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	peer := keelguard.Peer(t.Address.String())
+	w.targets[peer] = t
+	w.core.Opened(now, keelguard.ConnID(id), peer, now)
+}
+
+// Waiting implements [keelproxy.ConnObserver].
+func (w *silenceWatch) Waiting(id uint64, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Waiting(now, keelguard.ConnID(id), 1)
+}
+
+// Progress implements [keelproxy.ConnObserver].
+func (w *silenceWatch) Progress(id uint64, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Progress(now, keelguard.ConnID(id))
+}
+
+// Idle implements [keelproxy.ConnObserver].
+func (w *silenceWatch) Idle(id uint64, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Waiting(now, keelguard.ConnID(id), 0)
+}
+
+// Closed implements [keelproxy.ConnObserver].
+func (w *silenceWatch) Closed(id uint64, _ time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Closed(keelguard.ConnID(id))
+}
+
+func (l loop) runSilence() {
+	ticker := time.NewTicker(silencePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.e.silence.check(l.ctx, now)
+		}
+	}
+}
+
+func (w *silenceWatch) check(ctx context.Context, now time.Time) {
+	w.mu.Lock()
+	actions := w.core.Check(now)
+	w.mu.Unlock()
+	for _, a := range actions {
+		switch a.Type {
+		case keelguard.ActionProbe:
+			w.probe(ctx, a.Peer)
+		case keelguard.ActionRetire:
+			w.log.WithFields(logrus.Fields{"endpoint_address": string(a.Peer), "connection": a.Conn}).Warn("silent connection closed")
+			w.countRetired()
+			w.client.CloseConn(uint64(a.Conn))
+		}
+	}
+}
+
+func (w *silenceWatch) countRetired() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retired++
+}
+
+func (w *silenceWatch) probe(ctx context.Context, peer keelguard.Peer) {
+	w.mu.Lock()
+	t := w.targets[peer]
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := w.client.Probe(ctx, t)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.core.Probed(time.Now(), peer, err == nil)
+}
