--- a/examples/examples.go
+++ b/examples/examples.go
@@ -6,5 +6,5 @@
 
 // Files holds the folders of example declarations and settings.
 //
-//go:embed demo teranga sampaguita
+//go:embed demo
 var Files embed.FS
--- a/keelcommand/calls.go
+++ b/keelcommand/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -14,7 +13,6 @@
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelkey"
-	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelsteer"
 	"github.com/greengagekeel/greengagekeel/keelstore"
 	"github.com/urfave/cli/v3"
@@ -45,7 +43,7 @@
 		return err
 	}
 	q := url.Values{"service": {cmd.String("service")}, "path": {cmd.String("path")}, "method": {cmd.String("method")}}
-	a, err := LookUp(ctx, addr, q)
+	a, err := keelsteer.LookUp(ctx, addr, q)
 	if err != nil {
 		return fail(ExitFailed, err, "check that --caller names a running instance and that the service is declared")
 	}
@@ -59,28 +57,6 @@
 	return table(cmd.Root().Writer, []string{"instance", "failure domain", "address"}, rows)
 }
 
-// LookUp asks the caller port at addr with the given query.
-func LookUp(ctx context.Context, addr netip.AddrPort, q url.Values) (*keelsteer.LookupAnswer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+keelproxy.LookupPath+"?"+q.Encode(), nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, errors.Wrapf(err, "look up at %s", addr)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, errors.Wrapf(err, "look up at %s", addr)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("look up at %s: status %d: %s", addr, resp.StatusCode, body)
-	}
-	var a keelsteer.LookupAnswer
-	return &a, keel.DecodeJSON(body, &a)
-}
-
 func dumpCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "dump",
@@ -126,7 +102,7 @@
 			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the keys", Required: true},
 			&cli.StringSliceFlag{Name: "instance", Usage: "`NAME` of an instance", Required: true},
 			&cli.StringSliceFlag{Name: "address", Usage: "IP `ADDRESS` of the instances", Value: []string{"127.0.0.1"}},
-			&cli.DurationFlag{Name: "valid-for", Usage: "how long the instances' keys hold", Value: keelkey.DefaultInstanceValidity},
+			&cli.DurationFlag{Name: "valid-for", Usage: "how long the instances' keys hold", Value: keelkey.DefaultValidity},
 		},
 		Action: keys,
 	}
@@ -136,7 +112,7 @@
 	dir := cmd.String("dir")
 	authority, err := keelkey.ReadAuthority(dir)
 	if errors.Is(err, os.ErrNotExist) {
-		authority, err = keelkey.NewAuthority(keelkey.AuthorityConfig{})
+		authority, err = keelkey.NewAuthority(keelkey.AuthorityConfig{Name: "greengagekeel authority"})
 	}
 	if err != nil {
 		return fail(ExitFailed, err, "check the authority's files in the folder")
--- a/keelcommand/output.go
+++ b/keelcommand/output.go
@@ -77,3 +77,16 @@
 	}
 	return fail(ExitUnknown, err, "check that --operator names a running instance, then run the same command again")
 }
+
+// parseLabels reads labels that are written as key=value.
+func parseLabels(list []string) (keel.Labels, error) {
+	labels := make(keel.Labels, len(list))
+	for _, text := range list {
+		key, value, ok := strings.Cut(text, "=")
+		if !ok {
+			return nil, fail(ExitUsage, errors.Errorf("--label: %q has no =", text), "write it like tier=gold")
+		}
+		labels[key] = value
+	}
+	return labels, labels.Check().Err()
+}
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -140,31 +140,21 @@
 		Name:        s.Instance,
 		Domain:      s.Domain,
 		Region:      s.Region,
-		Caller:      advertised(s.Advertise.Caller, in.ports.caller.Addr()),
-		Peer:        advertisedUDP(s.Advertise.Peer, in.peer.Addr()),
+		Caller:      s.AdvertisedCaller(addrPort(in.ports.caller.Addr())),
+		Peer:        s.AdvertisedPeer(in.peer.Addr()),
 		Incarnation: uint64(time.Now().UnixNano()),
 		Voter:       s.Voter,
 	}
 }
 
-func advertised(set netip.AddrPort, bound net.Addr) netip.AddrPort {
-	if set.IsValid() {
-		return set
-	}
-	ap, err := netip.ParseAddrPort(bound.String())
+func addrPort(a net.Addr) netip.AddrPort {
+	ap, err := netip.ParseAddrPort(a.String())
 	if err != nil {
 		return netip.AddrPort{}
 	}
 	return ap
 }
 
-func advertisedUDP(set, bound netip.AddrPort) netip.AddrPort {
-	if set.IsValid() {
-		return set
-	}
-	return bound
-}
-
 // connect makes the parts that decide and serve, each of which gets the others
 // that it needs.
 func (in *Instance) connect() {
@@ -197,7 +187,7 @@
 	in.engine = keelsteer.New(keelsteer.Config{
 		Self: in.self, Declared: in.control.replica.Current, View: in.view, Endpoints: in.endpoints,
 		Transport: in.peer, Claims: in.claims, Guard: in.guard, Log: in.log,
-		LookupTTL: s.Timing.LookupTTL.Std(), MaxKeyedBytes: s.Limits.MaxKeyedBodyBytes, MaxAnswerBytes: maxAnswerBytes,
+		LookupTTL: s.Timing.LookupTTL.Std(), MaxKeyedBytes: int(s.Limits.MaxKeyedBodyBytes), MaxAnswerBytes: maxAnswerBytes,
 		FirstStart: in.control.replica.Current().Version == 0, Seed: in.self.Incarnation,
 	})
 	in.front = keelproxy.NewFront(keelproxy.FrontConfig{
@@ -250,9 +240,9 @@
 // Addresses returns the addresses of the open ports.
 func (in *Instance) Addresses() Addresses {
 	return Addresses{
-		Caller:   advertised(netip.AddrPort{}, in.ports.caller.Addr()),
-		Endpoint: advertised(netip.AddrPort{}, in.ports.endpoint.Addr()),
-		Operator: advertised(netip.AddrPort{}, in.ports.operator.Addr()),
+		Caller:   addrPort(in.ports.caller.Addr()),
+		Endpoint: addrPort(in.ports.endpoint.Addr()),
+		Operator: addrPort(in.ports.operator.Addr()),
 		Peer:     in.peer.Addr(),
 	}
 }
--- a/keelinstance/stop.go
+++ b/keelinstance/stop.go
@@ -47,7 +47,9 @@
 func (in *Instance) leaveMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	in.members.Leave(ctx)
+	if err := in.members.Leave(ctx); err != nil {
+		in.log.WithError(err).Warn("other instances were not told that this one leaves")
+	}
 }
 
 // waitLookups waits until look-up answers that name this instance have expired.
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keeldeclare"
 	"github.com/greengagekeel/greengagekeel/keelendpoint"
 	"github.com/greengagekeel/greengagekeel/keelmember"
+	"github.com/greengagekeel/greengagekeel/keelquorum"
 	"github.com/greengagekeel/greengagekeel/keelsteer"
 )
 
@@ -27,7 +29,7 @@
 	}
 	in.replan()
 	if in.members != nil {
-		in.members.Changed()
+		in.members.Notify()
 	}
 }
 
@@ -44,6 +46,10 @@
 		Version: in.control.replica.Current().Version,
 		Leaving: in.leaving.Load(),
 	}
+	l.Registered = slices.Contains(in.registeredHere(), in.self.Name)
+	if in.control.node != nil {
+		l.QuorumBacked = quorumHeard(in.control.node.Status())
+	}
 	if in.engine == nil {
 		return l
 	}
@@ -55,6 +61,11 @@
 	return l
 }
 
+// quorumHeard reports whether a voter leads with a lease or follows a leader.
+func quorumHeard(st keelquorum.Status) bool {
+	return st.LeaseValid || st.Role == "follower" && st.Leader != ""
+}
+
 func (in *Instance) resolve(name keel.InstanceName) (netip.AddrPort, bool) {
 	if in.members == nil {
 		return netip.AddrPort{}, false
--- /dev/null
+++ b/keelsteer/lookupclient.go
@@ -0,0 +1,36 @@
+package keelsteer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+)
+
+// LookUp asks the caller port at addr with the given query.
+func LookUp(ctx context.Context, addr netip.AddrPort, q url.Values) (*LookupAnswer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+keelproxy.LookupPath+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "look up at %s", addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "look up at %s", addr)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("look up at %s: status %d: %s", addr, resp.StatusCode, body)
+	}
+	var a LookupAnswer
+	return &a, keel.DecodeJSON(body, &a)
+}
+
