--- a/keeldeclare/dir.go
+++ b/keeldeclare/dir.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io/fs"
 	"os"
+	"path"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -31,17 +33,20 @@
 // LoadDir reads every file of the folder whose name ends in .json, and returns
 // what they declare together, in canonical form. It returns [keel.Faults] that
 // name file and field if the files have faults.
-func LoadDir(dir string) (*keel.Declarations, error) {
-	entries, err := os.ReadDir(dir)
+func LoadDir(dir string) (*keel.Declarations, error) { return LoadFS(os.DirFS(dir), ".") }
+
+// LoadFS is like [LoadDir] for a folder of a file system.
+func LoadFS(fsys fs.FS, dir string) (*keel.Declarations, error) {
+	entries, err := fs.ReadDir(fsys, dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "read declarations")
 	}
 	var l dirLoader
 	for _, e := range entries {
-		if e.IsDir() || filepath.Ext(e.Name()) != jsonSuffix {
+		if e.IsDir() || path.Ext(e.Name()) != jsonSuffix {
 			continue
 		}
-		data, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		data, err := fs.ReadFile(fsys, path.Join(dir, e.Name()))
 		if err != nil {
 			return nil, errors.Wrap(err, "read declarations")
 		}
--- a/keelinstance/metrics.go
+++ b/keelinstance/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -33,12 +34,16 @@
 }
 
 func newMetrics(self keel.Instance) *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several instances run in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "keel",
 		Tags:           map[string]string{"instance": string(self.Name), "domain": string(self.Domain)},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+
+		OmitCardinalityMetrics: true,
 	}, metricsPeriod)
 	return &metrics{scope: scope, closer: closer, reporter: reporter, logged: make(map[keel.Reason]time.Time)}
 }
