keeldemo: the whole path in one process

Cause: a newcomer needs one command that shows requests being steered. Change: three instances in two failure domains, six endpoints, 300 checked requests with a drain, a crash and a changed selector. A claim holder that saw its set come into force after its own start needs no barrier. Before: all keyed requests at a first start were refused for 24 h.

--- a/keeldemo/load.go
+++ b/keeldemo/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -30,6 +31,7 @@
 	uploadBytes   = 256 << 10
 	scoreBytes    = 200
 	galleryBytes  = 2000
+	galleryDelay  = "40ms"
 	archiveBytes  = 50_000
 	archiveDelay  = "5ms"
 	requestLimit  = 30 * time.Second
@@ -56,7 +58,7 @@
 	token := "request-" + strconv.Itoa(n)
 	switch n % 4 {
 	case 0:
-		return job{number: n, service: "gallery", method: http.MethodGet, want: galleryBytes, uri: fmt.Sprintf("/gallery/%s?bytes=%d", token, galleryBytes)}
+		return job{number: n, service: "gallery", method: http.MethodGet, want: galleryBytes, uri: fmt.Sprintf("/gallery/%s?bytes=%d&delay=%s", token, galleryBytes, galleryDelay)}
 	case 1:
 		j := job{number: n, service: "score", method: http.MethodPost, keyed: true, uri: "/score/" + token, body: randomBody(n, scoreBytes)}
 		if crash {
@@ -82,7 +84,7 @@
 // load sends all requests while the events happen.
 func (d *demo) load(ctx context.Context) error {
 	c := &caller{
-		http:    &http.Client{Timeout: requestLimit},
+		http:    callerClients(),
 		entries: d.system.callerAddrs(),
 		cached:  make(map[keel.ServiceName]cachedLookup),
 		tally:   d.tally,
@@ -111,11 +113,30 @@
 	}
 	workers.Wait()
 	err := eventGroup.Wait()
+	closeClients(c.http)
 	stopProgress()
 	progress.Wait()
 	return err
 }
 
+// callerClients returns clients that send from different blocks of loopback
+// addresses, so that a share vector spreads them.
+func callerClients() []*http.Client {
+	clients := make([]*http.Client, callers)
+	for i := range clients {
+		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, byte(i+1), 1)}}
+		transport := &http.Transport{DialContext: dialer.DialContext}
+		clients[i] = &http.Client{Timeout: requestLimit, Transport: transport}
+	}
+	return clients
+}
+
+func closeClients(clients []*http.Client) {
+	for _, c := range clients {
+		c.CloseIdleConnections()
+	}
+}
+
 // scoreAfter returns the number of the first score request from n on.
 func scoreAfter(n int) int {
 	for n%4 != 1 {
@@ -152,7 +173,8 @@
 
 // caller looks up instances, sends requests and checks the answers.
 type caller struct {
-	http    *http.Client
+	// http has one client for each block of caller addresses.
+	http    []*http.Client
 	entries []netip.AddrPort
 	tally   *tally
 	done    atomic.Int64
@@ -233,7 +255,7 @@
 	if err != nil {
 		return outcome{kind: lost, detail: err.Error()}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.http[j.number/4%len(c.http)].Do(req)
 	if err != nil {
 		return outcome{kind: lost, retryAfter: resendPause, detail: err.Error()}
 	}
--- a/keeldemo/system.go
+++ b/keeldemo/system.go
@@ -47,9 +47,9 @@
 func stands() []stand {
 	return []stand{
 		{service: "gallery", name: "g1", domain: "dakar-a", slots: 6},
-		{service: "gallery", name: "g2", domain: "dakar-b", slots: 6},
+		{service: "gallery", name: "g2", domain: "dakar-a", slots: 6},
 		{service: "score", name: "s1", domain: "dakar-a", slots: 3},
-		{service: "score", name: "s2", domain: "dakar-a", slots: 3, behaviour: crashing()},
+		{service: "score", name: "s2", domain: "dakar-b", slots: 3, behaviour: crashing()},
 		{service: "entry", name: "e1", domain: "dakar-a", slots: 4},
 		{service: "archive", name: "r1", domain: "dakar-b", slots: 4},
 	}
@@ -135,6 +135,9 @@
 
 // declare puts the first declarations in force.
 func (s *system) declare(ctx context.Context, d *keel.Declarations) error {
+	if err := s.waitCurrent(ctx); err != nil {
+		return err
+	}
 	change := keel.Change{
 		ID: "demo-first", Author: "demo", Time: time.Now().UTC(),
 		Ops: keeldeclare.Diff(&keel.Declarations{}, d),
@@ -166,6 +169,24 @@
 	return o, err
 }
 
+// waitCurrent waits until every instance knows that its declarations are the
+// current ones. Claim holders then know that none of their claims can be older
+// than their start.
+func (s *system) waitCurrent(ctx context.Context) error {
+	for i := range s.instances {
+		for {
+			d, err := s.dump(ctx, i)
+			if err == nil && d.Current.Known {
+				break
+			}
+			if !pause(ctx) {
+				return errors.Wrap(ctx.Err(), "wait until every instance knows the current version")
+			}
+		}
+	}
+	return nil
+}
+
 func pause(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
--- a/keelinstance/group.go
+++ b/keelinstance/group.go
@@ -26,6 +26,7 @@
 	group.Go(in.engine.Run)
 	group.Go(in.front.Run)
 	group.Go(in.runMetrics)
+	group.Go(in.runCurrency)
 	if in.control.node != nil {
 		group.Go(in.control.node.Run)
 	}
--- a/keelinstance/holders.go
+++ b/keelinstance/holders.go
@@ -26,12 +26,13 @@
 		current:  make(map[keel.DomainName]keelclaim.Set),
 		former:   make(map[keel.DomainName][]keelclaim.Set),
 	}
-	h.update(time.Time{}, declared())
+	h.update(time.Time{}, declared(), false)
 	return h
 }
 
-// update takes in the registered instances of new declarations.
-func (h *holderSets) update(now time.Time, d *keel.Declarations) {
+// update takes in the registered instances of new declarations. seen says that
+// the declarations before them were known here as the current ones.
+func (h *holderSets) update(now time.Time, d *keel.Declarations, seen bool) {
 	next := make(map[keel.DomainName][]keel.InstanceName)
 	for _, in := range d.Instances {
 		next[in.Domain] = append(next[in.Domain], in.Name)
@@ -47,7 +48,7 @@
 			old.Until = now
 			h.former[domain] = append(h.former[domain], old)
 		}
-		h.current[domain] = keelclaim.Set{Holders: names, Since: now}
+		h.current[domain] = keelclaim.Set{Holders: names, Since: now, SeenNew: seen}
 	}
 }
 
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -54,6 +54,7 @@
 	endpoints *keelendpoint.Service
 	claims    *keelclaim.Service
 	holders   *holderSets
+	currency  currency
 	guard     *keelguard.Service
 	engine    *keelsteer.Engine
 	front     *keelproxy.Front
--- a/keelinstance/state.go
+++ b/keelinstance/state.go
@@ -23,6 +23,7 @@
 	Leaving   bool                     `json:"leaving"`
 	InFlight  int64                    `json:"in_flight"`
 	Version   keel.Version             `json:"version"`
+	Current   CurrencyDump             `json:"current"`
 	Process   ProcessDump              `json:"process"`
 	Members   *keelmember.View         `json:"members"`
 	Quorum    *keelquorum.Status       `json:"quorum,omitempty"`
@@ -56,6 +57,7 @@
 		Leaving:   in.leaving.Load(),
 		InFlight:  in.front.InFlight(),
 		Version:   in.control.replica.Current().Version,
+		Current:   in.currency.dump(),
 		Process:   ProcessDump{Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc},
 		Members:   in.members.View(),
 		Replica:   in.control.replica.Dump(),
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -25,7 +25,7 @@
 func (in *Instance) onDeclared(s *keeldeclare.Snapshot) {
 	in.log.WithField("version", s.Version).Info("declarations in force")
 	if in.holders != nil {
-		in.holders.update(time.Now(), s.Declarations)
+		in.holders.update(time.Now(), s.Declarations, in.currency.wasCurrent(s.Version))
 	}
 	in.replan()
 	if in.members != nil {
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -73,21 +73,20 @@
 	replan  chan struct{}
 	drains  drainLog
 
-	mu       sync.Mutex // guards what follows
-	rng      *rand.Rand
-	shares   *keelroute.Shares
-	owners   *keeladmit.Owners
-	retry    *keeladmit.RetryBudget
-	ramp     *keelroute.Ramp
-	eject    *keelroute.Ejector
-	pools    map[keel.ServiceName]*pool
-	known    map[keel.EndpointID]bool
-	demand   map[keelroute.Source]map[keel.DomainName]*load
-	sent     map[keel.InstanceName]int
-	lost     map[keel.DomainName]bool
-	lastPick time.Time
-	credits  creditBook
-	links    linkBook
+	mu      sync.Mutex // guards what follows
+	rng     *rand.Rand
+	shares  *keelroute.Shares
+	owners  *keeladmit.Owners
+	retry   *keeladmit.RetryBudget
+	ramp    *keelroute.Ramp
+	eject   *keelroute.Ejector
+	pools   map[keel.ServiceName]*pool
+	known   map[keel.EndpointID]bool
+	demand  map[keelroute.Source]map[keel.DomainName]*load
+	sent    map[keel.InstanceName]int
+	lost    map[keel.DomainName]bool
+	credits creditBook
+	links   linkBook
 }
 
 // load is the number of requests that run now, and its average over time.
--- a/keelsteer/lookupclient.go
+++ b/keelsteer/lookupclient.go
@@ -33,4 +33,3 @@
 	var a LookupAnswer
 	return &a, keel.DecodeJSON(body, &a)
 }
-
