--- a/keeldemo/system.go
+++ b/keeldemo/system.go
@@ -48,7 +48,7 @@
 	return []stand{
 		{service: "gallery", name: "g1", domain: "dakar-a", slots: 6},
 		{service: "gallery", name: "g2", domain: "dakar-a", slots: 6},
-		{service: "score", name: "s1", domain: "dakar-a", slots: 3},
+		{service: "score", name: "s1", domain: "dakar-a", slots: 3, behaviour: crashing()},
 		{service: "score", name: "s2", domain: "dakar-b", slots: 3, behaviour: crashing()},
 		{service: "entry", name: "e1", domain: "dakar-a", slots: 4},
 		{service: "archive", name: "r1", domain: "dakar-b", slots: 4},
