--- a/keelclaim/faults_test.go
+++ b/keelclaim/faults_test.go
@@ -23,7 +23,7 @@
 		name string
 		f    faults
 	}{
-		{"no faults", faults{holders: 3, tickets: 0.5}},
+		{"claimants die", faults{holders: 3, tickets: 0.5, outage: time.Second}},
 		{"one holder", faults{holders: 1, tickets: 0.5, kill: 20 * time.Second, outage: 5 * time.Second}},
 		{"two holders", faults{holders: 2, tickets: 0.5, kill: 20 * time.Second, outage: 5 * time.Second, drop: 0.05}},
 		{"lost, doubled and late messages", faults{holders: 3, tickets: 0.3, drop: 0.1, double: 0.1, late: 0.05}},
--- a/keelclaim/network_test.go
+++ b/keelclaim/network_test.go
@@ -27,6 +27,7 @@
 	sets     map[keel.DomainName][]keelclaim.Set
 	domains  []keel.DomainName
 	down     map[keel.InstanceName]bool
+	stops    map[keel.InstanceName]func()
 	bytes    atomic.Int64
 	calls    atomic.Int64
 }
@@ -37,6 +38,7 @@
 		addrs:    map[keel.InstanceName]netip.AddrPort{},
 		sets:     map[keel.DomainName][]keelclaim.Set{},
 		down:     map[keel.InstanceName]bool{},
+		stops:    map[keel.InstanceName]func(){},
 	}
 }
 
@@ -81,9 +83,18 @@
 	return nil, errors.New("streams are not supported")
 }
 
+// kill cuts an instance off and ends its process.
+func (n *network) kill(name keel.InstanceName) {
+	n.setDown(true, name)
+	n.mu.Lock()
+	stop := n.stops[name]
+	n.mu.Unlock()
+	stop()
+}
+
 // start makes the service of one instance and runs it until the test ends or
-// the returned function is called.
-func (n *network) start(t testing.TB, name keel.InstanceName, domain keel.DomainName, incarnation uint64, change ...func(*keelclaim.Config)) (*keelclaim.Service, func()) {
+// the instance is killed.
+func (n *network) start(t testing.TB, name keel.InstanceName, domain keel.DomainName, incarnation uint64, change ...func(*keelclaim.Config)) *keelclaim.Service {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.mu.Lock()
@@ -131,7 +142,10 @@
 		wg.Wait()
 	})
 	t.Cleanup(stop)
-	return s, stop
+	n.mu.Lock()
+	n.stops[name] = stop
+	n.mu.Unlock()
+	return s
 }
 
 // waitPhase waits until the service's holder is in the phase.
@@ -163,8 +177,7 @@
 	n.sets["dakar-a"] = []keelclaim.Set{{Holders: names, Since: time.Now().Add(time.Hour)}}
 	var all []*keelclaim.Service
 	for _, name := range names {
-		s, _ := n.start(t, name, "dakar-a", 1, change...)
-		all = append(all, s)
+		all = append(all, n.start(t, name, "dakar-a", 1, change...))
 	}
 	for _, s := range all {
 		waitPhase(t, s, keelclaim.PhaseWhole)
--- a/keelclaim/service_test.go
+++ b/keelclaim/service_test.go
@@ -165,10 +165,10 @@
 			var last *keelclaim.Service
 			var restarted []*keelclaim.Service
 			for _, name := range tt.restart {
-				n.setDown(true, name)
+				n.kill(name)
 			}
 			for _, name := range tt.restart {
-				last, _ = n.start(t, name, "dakar-a", 2)
+				last = n.start(t, name, "dakar-a", 2)
 				restarted = append(restarted, last)
 			}
 			n.setDown(false, tt.restart...)
