--- a/keelroute/digest.go
+++ b/keelroute/digest.go
@@ -123,11 +123,15 @@
 }
 
 func (v *vector) digest(src Source) VectorDigest {
+	spent := ledger{moves: slices.Clone(v.ledger.moves)}
+	if n, diverted := v.traffic.sums(v.diverted); diverted > 0 {
+		spent.add(v.diverted, (diverted*Buckets+n-1)/n, v.keep)
+	}
 	return VectorDigest{
 		Source:      src,
 		Domains:     slices.Clone(v.domains),
 		Assigned:    slices.Clone(v.bucket[:]),
-		Moves:       slices.Clone(v.ledger.moves),
+		Moves:       spent.moves,
 		Updated:     v.updated,
 		FrozenUntil: v.frozenUntil,
 		Covers:      keel.Duration(v.keep),
@@ -137,6 +141,7 @@
 func (v *vector) restore(d VectorDigest) {
 	v.domains = slices.Clone(d.Domains)
 	v.target = make([]int, len(v.domains))
+	v.down = make([]bool, len(v.domains))
 	copy(v.bucket[:], d.Assigned)
 	v.ledger.moves = slices.Clone(d.Moves)
 	v.updated = d.Updated
--- a/keelroute/shares.go
+++ b/keelroute/shares.go
@@ -47,18 +47,26 @@
 	cfg     SharesConfig
 	caps    map[keel.SelectorName]keel.ShiftCap
 	lost    map[keel.DomainName]bool
+	closed  map[closure]bool
 	vectors map[Source]*vector
 	// learnt holds vectors of other instances for sources that have no vector
 	// here yet.
 	learnt map[Source]VectorDigest
 }
 
+// closure is a failure domain that has no endpoint for a selector.
+type closure struct {
+	selector keel.SelectorName
+	domain   keel.DomainName
+}
+
 // NewShares returns an empty set of share vectors.
 func NewShares(cfg SharesConfig) *Shares {
 	return &Shares{
 		cfg:     cfg,
 		caps:    map[keel.SelectorName]keel.ShiftCap{},
 		lost:    map[keel.DomainName]bool{},
+		closed:  map[closure]bool{},
 		vectors: map[Source]*vector{},
 		learnt:  map[Source]VectorDigest{},
 	}
@@ -87,7 +95,16 @@
 		v = s.start(now, src, target)
 	}
 	v.setTarget(target)
-	v.advance(now, s.lost)
+	s.refresh(now, src, v)
+}
+
+// refresh tells the vector which of its domains take no traffic, and lets it
+// move.
+func (s *Shares) refresh(now time.Time, src Source, v *vector) {
+	for i, d := range v.domains {
+		v.down[i] = s.lost[d] || s.closed[closure{src.Selector, d}]
+	}
+	v.advance(now)
 }
 
 func validWeights(target []keel.DomainWeight) bool {
@@ -127,9 +144,22 @@
 		return "", false
 	}
 	if !now.Before(v.nextMove) {
-		v.advance(now, s.lost)
+		v.advance(now)
+	}
+	v.traffic.slot(now).requests++
+	return v.pick(bucketOf(random))
+}
+
+// Divert asks leave to send one request of src elsewhere than Pick said, as
+// when that domain gives no credit. Diverted requests count as shifted traffic:
+// together with the buckets that moved they keep within the cap, in whole
+// requests. If Divert returns false, the request must be refused.
+func (s *Shares) Divert(now time.Time, src Source) bool {
+	v, ok := s.vectors[src]
+	if !ok {
+		return false
 	}
-	return v.pick(now, bucketOf(random), s.lost)
+	return v.divert(now)
 }
 
 // Refusal returns the refusal for a request that Pick found no domain for.
@@ -164,13 +194,11 @@
 	return float64(v.ledger.spent(now, v.cap.Window.Std())) / Buckets
 }
 
-// Lost says that a failure domain takes no traffic although nobody planned so.
-// Its buckets move at once as far as the cap allows.
+// Lost says that a failure domain takes no traffic, because it can't be reached
+// or is labelled to drain. Its buckets move at once as far as the cap allows.
 func (s *Shares) Lost(now time.Time, domain keel.DomainName) {
 	s.lost[domain] = true
-	for _, v := range s.vectors {
-		v.advance(now, s.lost)
-	}
+	s.refreshAll(now, "")
 }
 
 // Returned says that a lost failure domain takes traffic again. Buckets that
@@ -178,8 +206,28 @@
 // cap.
 func (s *Shares) Returned(now time.Time, domain keel.DomainName) {
 	delete(s.lost, domain)
-	for _, v := range s.vectors {
-		v.advance(now, s.lost)
+	s.refreshAll(now, "")
+}
+
+// Close is like Lost for the traffic of one selector, as when all endpoints
+// that it matches in the domain leave.
+func (s *Shares) Close(now time.Time, selector keel.SelectorName, domain keel.DomainName) {
+	s.closed[closure{selector, domain}] = true
+	s.refreshAll(now, selector)
+}
+
+// Open ends what Close began.
+func (s *Shares) Open(now time.Time, selector keel.SelectorName, domain keel.DomainName) {
+	delete(s.closed, closure{selector, domain})
+	s.refreshAll(now, selector)
+}
+
+// refreshAll refreshes the vectors of one selector, or of all for "".
+func (s *Shares) refreshAll(now time.Time, selector keel.SelectorName) {
+	for src, v := range s.vectors {
+		if selector == "" || src.Selector == selector {
+			s.refresh(now, src, v)
+		}
 	}
 }
 
--- /dev/null
+++ b/keelroute/steering_test.go
@@ -0,0 +1,416 @@
+package keelroute_test
+
+import (
+	"math"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelroute"
+)
+
+// silentAfter is the age of a report at which a domain counts as lost.
+const silentAfter = time.Second
+
+// policy is the system's own steering over the cores.
+type policy struct {
+	own      ownership
+	cap      keel.ShiftCap
+	entries  [domains * entriesPerDomain]*keelroute.Shares
+	wallets  [domains]*keeladmit.Wallet
+	grantors [domains]*keeladmit.Grantor
+	known    [regions][domains][]poolReport
+	lost     [regions][domains]bool
+	closed   [regions][domains][]bool
+	count    [regions][]float64 // arrivals in this tick
+	rate     [regions][]float64 // smoothed arrivals per second
+	sent     [domains][domains][]int
+	lacked   [domains][domains][]int
+	stale    bool
+	ticks    int
+	history  map[int][]snapshot
+}
+
+func newPolicy(dep deployment, own ownership, c keel.ShiftCap) *policy {
+	n := len(dep.services)
+	p := &policy{own: own, cap: c, history: map[int][]snapshot{}}
+	for r := range regions {
+		p.count[r], p.rate[r] = make([]float64, n), make([]float64, n)
+		for d := range domains {
+			p.known[r][d], p.closed[r][d] = make([]poolReport, n), make([]bool, n)
+		}
+	}
+	for d := range domains {
+		p.wallets[d] = keeladmit.NewWallet(member(d))
+		p.grantors[d] = keeladmit.NewGrantor(keeladmit.GrantorConfig{Self: member(d)})
+		for to := range domains {
+			p.sent[d][to], p.lacked[d][to] = make([]int, n), make([]int, n)
+		}
+	}
+	for i := range p.entries {
+		p.entries[i] = p.newShares(dep, epoch, true)
+	}
+	return p
+}
+
+func member(d int) keel.InstanceName { return keel.InstanceName("owner-" + string(domainName(d))) }
+
+func (p *policy) newShares(dep deployment, now time.Time, first bool) *keelroute.Shares {
+	sh := keelroute.NewShares(keelroute.SharesConfig{Self: "entry", FirstStart: first})
+	for _, w := range dep.services {
+		sh.SetCap(now, keel.SelectorName(w.name), p.cap)
+	}
+	return sh
+}
+
+func (p *policy) picker() keel.Picker  { return keelroute.PowerOfTwo{} }
+func (p *policy) ownership() ownership { return p.own }
+func (p *policy) budgets() bool        { return true }
+
+func sourceOf(s *sim, r *request) keelroute.Source { return source(s, r.source, r.svc) }
+
+func source(s *sim, region, svc int) keelroute.Source {
+	return keelroute.Source{Selector: keel.SelectorName(s.dep.services[svc].name), Region: regionName(region)}
+}
+
+func domainIndex(d keel.DomainName) int { return int(d[1] - '0') }
+
+func (p *policy) route(s *sim, r *request) int {
+	p.count[r.source][r.svc]++
+	src, sh := sourceOf(s, r), p.entries[r.entry]
+	if sh.Vector(src) == nil {
+		p.learn(s, r.entry, src)
+		p.setTarget(s, r.entry, r.source, r.svc)
+	}
+	name, ok := sh.Pick(s.clock(), src, r.key)
+	if !ok {
+		return -1
+	}
+	dest := domainIndex(name)
+	if p.admit(s, r, dest) {
+		return dest
+	}
+	if dest = p.nearest(s, r); dest < 0 || !p.admit(s, r, dest) || !sh.Divert(s.clock(), src) {
+		p.ended(s, r)
+		return -1
+	}
+	return dest
+}
+
+// admit takes a credit for a request that leaves its region.
+func (p *policy) admit(s *sim, r *request, dest int) bool {
+	from := r.entry / entriesPerDomain
+	if regionOf(from) == regionOf(dest) {
+		return true
+	}
+	r.grantor, r.remote = p.wallets[from].Take(s.clock(), domainName(dest), s.dep.services[r.svc].name)
+	if !r.remote {
+		p.lacked[from][dest][r.svc]++
+		return false
+	}
+	r.dest = dest
+	p.sent[from][dest][r.svc]++
+	return true
+}
+
+func (p *policy) ended(s *sim, r *request) {
+	if !r.remote {
+		return
+	}
+	r.remote = false
+	from := r.entry / entriesPerDomain
+	p.sent[from][r.dest][r.svc]--
+	p.wallets[from].Release(domainName(r.dest), s.dep.services[r.svc].name, r.grantor)
+}
+
+// nearest returns the domain of the entry's region with the shortest delay.
+func (p *policy) nearest(_ *sim, r *request) int {
+	region := regionOf(r.entry / entriesPerDomain)
+	best, least := -1, time.Duration(math.MaxInt64)
+	for d := 2 * region; d < 2*region+2; d++ {
+		if k := &p.known[region][d][r.svc]; !p.lost[region][d] && k.slots > 0 && k.delay < least {
+			best, least = d, k.delay
+		}
+	}
+	return best
+}
+
+// learn gives an entry the digests of others, as gossip would.
+func (p *policy) learn(s *sim, entry int, src keelroute.Source) {
+	for i, sh := range p.entries {
+		if i != entry && sh.Vector(src) != nil {
+			p.entries[entry].Merge(s.clock(), sh.Digest())
+			return
+		}
+	}
+}
+
+func (p *policy) tick(s *sim) {
+	p.hear(s)
+	for r := range regions {
+		for svc := range p.rate[r] {
+			const weight = 0.2
+			now := p.count[r][svc] / tickEvery.Seconds()
+			if p.ticks == 0 {
+				p.rate[r][svc] = now
+			}
+			p.rate[r][svc] += weight * (now - p.rate[r][svc])
+			p.count[r][svc] = 0
+		}
+	}
+	for e := range p.entries {
+		if !s.lost[e/entriesPerDomain] && (p.ticks+e)%4 == 0 {
+			p.setTargets(s, e)
+		}
+	}
+	if p.ticks%2 == 0 {
+		p.grant(s)
+	}
+	p.ticks++
+	p.checkCap(s)
+}
+
+// hear delivers reports to every region that can be reached, and closes and
+// opens domains by them.
+func (p *policy) hear(s *sim) {
+	for o := range regions {
+		for d := range domains {
+			for svc := range s.dep.services {
+				if !s.lost[d] && !s.cut[regionOf(d)][o] {
+					p.known[o][d][svc] = s.pools[d][svc].report
+				}
+			}
+			p.judge(s, o, d)
+		}
+	}
+}
+
+func (p *policy) judge(s *sim, o, d int) {
+	gone := s.now-p.known[o][d][0].at > silentAfter
+	for e := 2 * o * entriesPerDomain; e < 2*(o+1)*entriesPerDomain; e++ {
+		switch {
+		case gone && !p.lost[o][d]:
+			p.entries[e].Lost(s.clock(), domainName(d))
+		case !gone && p.lost[o][d]:
+			p.entries[e].Returned(s.clock(), domainName(d))
+		}
+		for svc, w := range s.dep.services {
+			if empty := p.known[o][d][svc].slots == 0; empty != p.closed[o][d][svc] {
+				if empty {
+					p.entries[e].Close(s.clock(), keel.SelectorName(w.name), domainName(d))
+				} else {
+					p.entries[e].Open(s.clock(), keel.SelectorName(w.name), domainName(d))
+				}
+			}
+		}
+	}
+	p.lost[o][d] = gone
+	for svc := range s.dep.services {
+		p.closed[o][d][svc] = p.known[o][d][svc].slots == 0
+	}
+}
+
+func (p *policy) setTargets(s *sim, e int) {
+	own := regionOf(e / entriesPerDomain)
+	for r := range regions {
+		for svc := range s.dep.services {
+			if r == own || p.entries[e].Vector(source(s, r, svc)) != nil {
+				p.setTarget(s, e, r, svc)
+			}
+		}
+	}
+}
+
+func (p *policy) setTarget(s *sim, e, region, svc int) {
+	o := regionOf(e / entriesPerDomain)
+	w := s.dep.services[svc]
+	in := keelroute.TargetInput{
+		Region: regionName(o), Demand: p.rate[region][svc] * w.time.Seconds(),
+		ServiceTime: w.time, Stale: p.stale, Previous: p.entries[e].Vector(source(s, region, svc)),
+	}
+	for d := range domains {
+		k := &p.known[o][d][svc]
+		l := keelroute.DomainLoad{
+			Domain: domainName(d), Region: regionName(regionOf(d)), Slots: float64(k.slots),
+			QueueDelay: k.delay, ReportAge: s.now - k.at, Drain: p.lost[o][d],
+		}
+		for r, n := range k.bySource {
+			if r != region {
+				l.Others += float64(n)
+			}
+		}
+		if regionOf(d) != o {
+			l.RoundTrip = s.dep.regionTrip
+			l.LinkUse = s.links[regionOf(d)][o].bytes / s.dep.linkBytes
+		}
+		in.Domains = append(in.Domains, l)
+	}
+	if target := keelroute.Targets(in); target != nil {
+		p.entries[e].SetTarget(s.clock(), source(s, region, svc), target)
+	}
+}
+
+// grant exchanges wants and grants between domains of different regions.
+func (p *policy) grant(s *sim) {
+	for to := range domains {
+		if s.lost[to] {
+			continue
+		}
+		for svc, w := range s.dep.services {
+			k := &s.pools[to][svc].report
+			home := float64(k.bySource[regionOf(to)])
+			p.grantors[to].SetSpare(w.name, int(0.95*float64(k.slots)-home))
+			for from := range domains {
+				if regionOf(from) != regionOf(to) && !s.lost[from] && !s.cut[regionOf(from)][regionOf(to)] {
+					want := p.sent[from][to][svc] + p.lacked[from][to][svc] + 2
+					p.lacked[from][to][svc] = 0
+					p.grantors[to].SetWant(s.clock(), keeladmit.Want{Domain: domainName(from), Service: w.name, Slots: want},
+						[]keel.InstanceName{member(from)})
+				}
+			}
+			p.deliver(s, to, svc)
+		}
+	}
+}
+
+func (p *policy) deliver(s *sim, to, svc int) {
+	for _, g := range p.grantors[to].Grants(s.clock(), s.dep.services[svc].name) {
+		from := domainIndex(g.Domain)
+		if !s.lost[from] && !s.cut[regionOf(from)][regionOf(to)] {
+			p.wallets[from].Receive(s.clock(), domainName(to), g)
+		}
+	}
+}
+
+// snapshot is the assignment of one entry's buckets at a time.
+type snapshot struct {
+	at      time.Duration
+	vectors map[keelroute.Source][]byte
+}
+
+// checkCap compares every entry's vectors with those of up to one window ago.
+func (p *policy) checkCap(s *sim) {
+	for e, sh := range p.entries {
+		now := snapshot{s.now, map[keelroute.Source][]byte{}}
+		for _, v := range sh.Digest().Vectors {
+			now.vectors[v.Source] = named(v)
+		}
+		h := append(p.history[e], now)
+		for s.now-h[0].at > p.cap.Window.Std() {
+			h = h[1:]
+		}
+		p.history[e] = h
+		for src, v := range now.vectors {
+			moved := differing(h[0].vectors[src], v)
+			if limit := p.cap.Percent / 100 * keelroute.Buckets; float64(moved) > limit+1e-6 {
+				s.broken("%s: entry %d moved %d of %v buckets of %v within a window", s.now, e, moved, limit, src)
+			}
+		}
+	}
+}
+
+// named returns the domain of every bucket as the digit in its name.
+func named(v keelroute.VectorDigest) []byte {
+	out := make([]byte, len(v.Assigned))
+	for i, at := range v.Assigned {
+		out[i] = v.Domains[at][1]
+	}
+	return out
+}
+
+func differing(a, b []byte) int {
+	n := 0
+	for i := range a {
+		if a[i] != b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// baseline steers by one rule over all domains that answer.
+type baseline struct {
+	pick   keel.Picker
+	choose func(s *sim, r *request) int
+	knows  func(s *sim, d int) bool
+}
+
+func (b baseline) route(s *sim, r *request) int { return b.choose(s, r) }
+func (b baseline) ended(*sim, *request)         {}
+func (b baseline) tick(*sim)                    {}
+func (b baseline) picker() keel.Picker          { return b.pick }
+func (b baseline) ownership() ownership         { return ownPools }
+func (b baseline) budgets() bool                { return false }
+
+// alive reports whether the domain's last report is fresh and can arrive.
+func alive(s *sim, r *request, d int) bool {
+	k := &s.pools[d][r.svc].report
+	return s.now-k.at <= silentAfter && k.slots > 0 && !s.cut[regionOf(d)][regionOf(r.entry/entriesPerDomain)]
+}
+
+// cheapest returns the live domain with the least cost.
+func cheapest(s *sim, r *request, cost func(d int) float64) int {
+	best, least := -1, math.Inf(1)
+	for d := range domains {
+		if c := cost(d); alive(s, r, d) && c < least {
+			best, least = d, c
+		}
+	}
+	return best
+}
+
+func nearestFirst() steering {
+	return baseline{pick: keelroute.First{}, choose: func(s *sim, r *request) int {
+		home := r.entry / entriesPerDomain
+		return cheapest(s, r, func(d int) float64 {
+			if d == home {
+				return 0
+			}
+			return float64(1 + (regionOf(d)-regionOf(home)+regions)%regions)
+		})
+	}}
+}
+
+func staticWeights() steering {
+	return baseline{pick: keelroute.StaticWeights{}, choose: func(s *sim, r *request) int {
+		return cheapest(s, r, func(d int) float64 {
+			return s.rnd.ExpFloat64() / float64(s.pools[d][r.svc].slots)
+		})
+	}}
+}
+
+// leastReported chooses by what endpoints said up to two seconds ago.
+func leastReported() steering {
+	var told [domains][8]float64
+	next := time.Duration(0)
+	return baseline{pick: keelroute.LeastReported{}, choose: func(s *sim, r *request) int {
+		if s.now >= next {
+			next = s.now + 2*time.Second
+			for d := range domains {
+				for svc, p := range s.pools[d] {
+					told[d][svc] = float64(p.report.told) / float64(p.slots)
+				}
+			}
+		}
+		return cheapest(s, r, func(d int) float64 { return told[d][r.svc] + 1e-6*s.rnd.Float64() })
+	}}
+}
+
+// allKnowing chooses by the true state of all domains at this moment.
+func allKnowing() steering {
+	return baseline{pick: keelroute.PowerOfTwo{}, choose: func(s *sim, r *request) int {
+		return cheapest(s, r, func(d int) float64 {
+			if s.lost[d] {
+				return math.Inf(1)
+			}
+			p := s.pools[d][r.svc]
+			n, slots := 0.0, float64(p.slots)
+			for _, k := range p.bySource {
+				n += float64(k)
+			}
+			r.dest = d
+			wait := max(0, n-slots+1) / slots * s.dep.services[r.svc].time.Seconds()
+			return s.trip(r).Seconds() + wait + 1e-4*n/slots
+		})
+	}}
+}
--- a/keelroute/vector.go
+++ b/keelroute/vector.go
@@ -16,7 +16,12 @@
 	bucket  [Buckets]uint8
 	// target counts the buckets that each domain should have.
 	target []int
-	ledger ledger
+	// down marks domains that take no traffic.
+	down    []bool
+	ledger  ledger
+	traffic traffic
+	// diverted is when the last request was diverted.
+	diverted time.Time
 	// keep is the longest window that was ever in force. Older moves are
 	// forgotten.
 	keep time.Duration
@@ -30,7 +35,9 @@
 const maxDomains = 255
 
 func newVector(c keel.ShiftCap) *vector {
-	return &vector{cap: c, keep: c.Window.Std()}
+	v := &vector{cap: c, keep: c.Window.Std()}
+	v.traffic.setWindow(c.Window.Std())
+	return v
 }
 
 // setCap puts another cap in force. The ledger reaches back only as far as the
@@ -45,6 +52,7 @@
 		v.keep = w
 	}
 	v.cap = c
+	v.traffic.setWindow(w)
 	v.nextMove = now
 }
 
@@ -64,6 +72,7 @@
 	}
 	v.domains = append(v.domains, d)
 	v.target = append(v.target, 0)
+	v.down = append(v.down, false)
 	return len(v.domains) - 1, true
 }
 
@@ -110,7 +119,26 @@
 	if now.Before(v.frozenUntil) {
 		return 0
 	}
-	return v.limit() - v.ledger.spent(now, v.cap.Window.Std())
+	left := v.limit() - v.ledger.spent(now, v.cap.Window.Std())
+	if n, diverted := v.traffic.sums(now); diverted > 0 {
+		left -= (diverted*Buckets + n - 1) / n
+	}
+	return left
+}
+
+// divert counts one more diverted request if the cap allows it.
+func (v *vector) divert(now time.Time) bool {
+	if now.Before(v.frozenUntil) {
+		return false
+	}
+	n, diverted := v.traffic.sums(now)
+	moved := float64(v.ledger.spent(now, v.cap.Window.Std())) / Buckets
+	if moved*float64(n)+float64(diverted+1) > v.cap.Percent/100*float64(n) {
+		return false
+	}
+	v.traffic.slot(now).diverted++
+	v.diverted = now
+	return true
 }
 
 func (v *vector) limit() int {
@@ -123,12 +151,12 @@
 
 // advance moves buckets of lost domains as far as the cap allows, and then one
 // step of the planned shift.
-func (v *vector) advance(now time.Time, lost map[keel.DomainName]bool) {
+func (v *vector) advance(now time.Time) {
 	v.nextMove = now.Add(v.cap.Window.Std() / stepsPerWindow)
 	have := v.counts()
-	moved := v.moveLost(v.allowance(now), have, lost)
+	moved := v.moveLost(v.allowance(now), have)
 	if moved == 0 && v.stepDue(now) {
-		moved = v.movePlanned(min(v.step(), v.allowance(now)), have, lost)
+		moved = v.movePlanned(min(v.step(), v.allowance(now)), have)
 	}
 	if moved == 0 {
 		return
@@ -147,19 +175,19 @@
 
 // moveLost moves buckets of lost domains to the domains furthest below their
 // target, and returns how many it moved.
-func (v *vector) moveLost(most int, have []int, lost map[keel.DomainName]bool) int {
+func (v *vector) moveLost(most int, have []int) int {
 	moved := 0
-	if len(lost) == 0 {
+	if !slices.Contains(v.down, true) {
 		return 0
 	}
 	for b, from := range v.bucket {
 		if moved >= most {
 			break
 		}
-		if !lost[v.domains[from]] {
+		if !v.down[from] {
 			continue
 		}
-		if to := v.neediest(have, lost); to >= 0 {
+		if to := v.neediest(have); to >= 0 {
 			v.move(b, to, have)
 			moved++
 		}
@@ -168,7 +196,7 @@
 }
 
 // movePlanned moves buckets from domains above their target to those below.
-func (v *vector) movePlanned(most int, have []int, lost map[keel.DomainName]bool) int {
+func (v *vector) movePlanned(most int, have []int) int {
 	moved := 0
 	for b, from := range v.bucket {
 		if moved >= most {
@@ -177,7 +205,7 @@
 		if have[from] <= v.target[from] {
 			continue
 		}
-		to := v.neediest(have, lost)
+		to := v.neediest(have)
 		if to < 0 || have[to] >= v.target[to] {
 			break
 		}
@@ -195,10 +223,10 @@
 
 // neediest returns the usable domain with a target that has the smallest part
 // of it, or -1.
-func (v *vector) neediest(have []int, lost map[keel.DomainName]bool) int {
+func (v *vector) neediest(have []int) int {
 	best, least := -1, math.Inf(1)
 	for i, want := range v.target {
-		if want == 0 || lost[v.domains[i]] {
+		if want == 0 || v.down[i] {
 			continue
 		}
 		if part := float64(have[i]) / float64(want); part < least {
@@ -216,12 +244,12 @@
 	return have
 }
 
-func (v *vector) pick(_ time.Time, bucket int, lost map[keel.DomainName]bool) (keel.DomainName, bool) {
-	d := v.domains[v.bucket[bucket]]
-	if len(lost) > 0 && lost[d] {
+func (v *vector) pick(bucket int) (keel.DomainName, bool) {
+	at := v.bucket[bucket]
+	if v.down[at] {
 		return "", false
 	}
-	return d, true
+	return v.domains[at], true
 }
 
 // retryAfter returns how long it takes until a bucket may move again.
