keelroute, keeladmit: smooth reports, size grants for the way and a burst

Cause: grants followed each moment's free slots, so that a pool of six gave one or none; the policy then served at home and spent the cap on it. Targets followed the same noise back and forth. Change: Average smooths use and delay over 2 s.

--- a/keelroute/load_test.go
+++ b/keelroute/load_test.go
@@ -114,6 +114,7 @@
 type poolReport struct {
 	at       time.Duration
 	bySource [regions]int
+	smooth   [regions]float64 // bySource, smoothed by its owner
 	slots    int
 	free     int
 	delay    time.Duration
--- a/keelroute/steering_test.go
+++ b/keelroute/steering_test.go
@@ -22,8 +22,9 @@
 	known    [regions][domains][]poolReport
 	lost     [regions][domains]bool
 	closed   [regions][domains][]bool
-	count    [regions][]float64 // arrivals in this tick
-	rate     [regions][]float64 // smoothed arrivals per second
+	count    [regions][]float64           // arrivals in this tick
+	rate     [regions][]keelroute.Average // arrivals per second
+	seen     [domains][]seen
 	sent     [domains][domains][]int
 	lacked   [domains][domains][]int
 	stale    bool
@@ -31,16 +32,34 @@
 	history  map[int][]snapshot
 }
 
+// seen is what the owner of a pool knows of its use, smoothed.
+type seen struct {
+	bySource [regions]keelroute.Average
+	delay    keelroute.Average
+}
+
+const smoothFor = 2 * time.Second
+
 func newPolicy(dep deployment, own ownership, c keel.ShiftCap) *policy {
 	n := len(dep.services)
 	p := &policy{own: own, cap: c, history: map[int][]snapshot{}}
 	for r := range regions {
-		p.count[r], p.rate[r] = make([]float64, n), make([]float64, n)
+		p.count[r] = make([]float64, n)
+		for range n {
+			p.rate[r] = append(p.rate[r], keelroute.NewAverage(smoothFor))
+		}
 		for d := range domains {
 			p.known[r][d], p.closed[r][d] = make([]poolReport, n), make([]bool, n)
 		}
 	}
 	for d := range domains {
+		p.seen[d] = make([]seen, n)
+		for svc := range n {
+			for r := range regions {
+				p.seen[d][svc].bySource[r] = keelroute.NewAverage(smoothFor)
+			}
+			p.seen[d][svc].delay = keelroute.NewAverage(smoothFor)
+		}
 		p.wallets[d] = keeladmit.NewWallet(member(d))
 		p.grantors[d] = keeladmit.NewGrantor(keeladmit.GrantorConfig{Self: member(d)})
 		for to := range domains {
@@ -146,15 +165,11 @@
 }
 
 func (p *policy) tick(s *sim) {
+	p.observe(s)
 	p.hear(s)
 	for r := range regions {
 		for svc := range p.rate[r] {
-			const weight = 0.2
-			now := p.count[r][svc] / tickEvery.Seconds()
-			if p.ticks == 0 {
-				p.rate[r][svc] = now
-			}
-			p.rate[r][svc] += weight * (now - p.rate[r][svc])
+			p.rate[r][svc].Observe(s.clock(), p.count[r][svc]/tickEvery.Seconds())
 			p.count[r][svc] = 0
 		}
 	}
@@ -170,6 +185,21 @@
 	p.checkCap(s)
 }
 
+func (p *policy) observe(s *sim) {
+	for d := range domains {
+		for svc := range s.dep.services {
+			rep := &s.pools[d][svc].report
+			o := &p.seen[d][svc]
+			for r, n := range rep.bySource {
+				o.bySource[r].Observe(s.clock(), float64(n))
+				rep.smooth[r] = o.bySource[r].Value()
+			}
+			o.delay.Observe(s.clock(), rep.delay.Seconds())
+			rep.delay = time.Duration(o.delay.Value() * float64(time.Second))
+		}
+	}
+}
+
 // hear delivers reports to every region that can be reached, and closes and
 // opens domains by them.
 func (p *policy) hear(s *sim) {
@@ -225,7 +255,7 @@
 	o := regionOf(e / entriesPerDomain)
 	w := s.dep.services[svc]
 	in := keelroute.TargetInput{
-		Region: regionName(o), Demand: p.rate[region][svc] * w.time.Seconds(),
+		Region: regionName(o), Demand: p.rate[region][svc].Value() * w.time.Seconds(),
 		ServiceTime: w.time, Stale: p.stale, Previous: p.entries[e].Vector(source(s, region, svc)),
 	}
 	for d := range domains {
@@ -234,9 +264,9 @@
 			Domain: domainName(d), Region: regionName(regionOf(d)), Slots: float64(k.slots),
 			QueueDelay: k.delay, ReportAge: s.now - k.at, Drain: p.lost[o][d],
 		}
-		for r, n := range k.bySource {
+		for r, n := range k.smooth {
 			if r != region {
-				l.Others += float64(n)
+				l.Others += n
 			}
 		}
 		if regionOf(d) != o {
@@ -258,8 +288,9 @@
 		}
 		for svc, w := range s.dep.services {
 			k := &s.pools[to][svc].report
-			home := float64(k.bySource[regionOf(to)])
-			p.grantors[to].SetSpare(w.name, int(0.95*float64(k.slots)-home))
+			p.grantors[to].SetSpare(w.name, keeladmit.SpareSlots(keeladmit.SpareInput{
+				Slots: k.slots, Home: k.smooth[regionOf(to)], ServiceTime: w.time, RoundTrip: s.dep.regionTrip,
+			}))
 			for from := range domains {
 				if regionOf(from) != regionOf(to) && !s.lost[from] && !s.cut[regionOf(from)][regionOf(to)] {
 					want := p.sent[from][to][svc] + p.lacked[from][to][svc] + 2
