keelroute: send single requests past a standing queue

Cause: shares move by steps of seconds, but queues of pools of six stand for a second or two by chance. Change: Overflows compares the domain of the bucket with one random other; the request goes there if that is better by a whole service time. Such a request is diverted under the cap and leaves a tenth of it to others. Conclusion: kept with a margin of one service time and 0.9 of the cap.

--- a/keelroute/load_test.go
+++ b/keelroute/load_test.go
@@ -118,7 +118,8 @@
 	slots    int
 	free     int
 	delay    time.Duration
-	told     int // what the endpoints say that they run
+	fresh    time.Duration // delay, not smoothed
+	told     int           // what the endpoints say that they run
 }
 
 // ownership says how the entry instances of a domain share its endpoints.
--- a/keelroute/shares.go
+++ b/keelroute/shares.go
@@ -159,7 +159,22 @@
 	if !ok {
 		return false
 	}
-	return v.divert(now)
+	return v.divert(now, 1)
+}
+
+// optionalPart is the part of a cap that requests may use up which would also
+// be served where Pick said.
+const optionalPart = 0.9
+
+// DivertOptional is like [Shares.Divert] for a request that Pick's domain would
+// serve as well, only later. It leaves a tenth of the cap to moves and to requests
+// that would be refused.
+func (s *Shares) DivertOptional(now time.Time, src Source) bool {
+	v, ok := s.vectors[src]
+	if !ok {
+		return false
+	}
+	return v.divert(now, optionalPart)
 }
 
 // Refusal returns the refusal for a request that Pick found no domain for.
--- a/keelroute/steering_test.go
+++ b/keelroute/steering_test.go
@@ -109,6 +109,11 @@
 		return -1
 	}
 	dest := domainIndex(name)
+	if other := p.otherThan(s, r, dest); other != dest && sh.DivertOptional(s.clock(), src) {
+		if p.admit(s, r, other) {
+			return other
+		}
+	}
 	if p.admit(s, r, dest) {
 		return dest
 	}
@@ -119,6 +124,35 @@
 	return dest
 }
 
+// otherThan returns a random other domain if the request is better off there.
+func (p *policy) otherThan(s *sim, r *request, dest int) int {
+	other := (dest + 1 + s.rnd.IntN(domains-1)) % domains
+	if s.rnd.IntN(2) == 0 {
+		other = dest ^ 1 // the other domain of the region
+	}
+	from := r.entry / entriesPerDomain
+	k := p.known[regionOf(from)][other][r.svc]
+	if p.lost[regionOf(from)][other] || k.slots == 0 {
+		return dest
+	}
+	if regionOf(other) != regionOf(from) && p.wallets[from].Left(s.clock(), domainName(other), s.dep.services[r.svc].name) == 0 {
+		return dest
+	}
+	if keelroute.Overflows(p.option(s, from, dest, r.svc), p.option(s, from, other, r.svc), s.dep.services[r.svc].time) {
+		return other
+	}
+	return dest
+}
+
+func (p *policy) option(s *sim, from, to, svc int) keelroute.OverflowOption {
+	o := keelroute.OverflowOption{Delay: p.known[regionOf(from)][to][svc].fresh}
+	if regionOf(from) != regionOf(to) {
+		o.RoundTrip = s.dep.regionTrip
+		o.LinkUse = s.links[regionOf(to)][regionOf(from)].bytes / s.dep.linkBytes
+	}
+	return o
+}
+
 // admit takes a credit for a request that leaves its region.
 func (p *policy) admit(s *sim, r *request, dest int) bool {
 	from := r.entry / entriesPerDomain
@@ -196,6 +230,7 @@
 				rep.smooth[r] = o.bySource[r].Value()
 			}
 			o.delay.Observe(s.clock(), rep.delay.Seconds())
+			rep.fresh = rep.delay
 			rep.delay = time.Duration(o.delay.Value() * float64(time.Second))
 		}
 	}
--- a/keelroute/vector.go
+++ b/keelroute/vector.go
@@ -126,14 +126,14 @@
 	return left
 }
 
-// divert counts one more diverted request if the cap allows it.
-func (v *vector) divert(now time.Time) bool {
+// divert counts one more diverted request if that part of the cap allows it.
+func (v *vector) divert(now time.Time, part float64) bool {
 	if now.Before(v.frozenUntil) {
 		return false
 	}
 	n, diverted := v.traffic.sums(now)
 	moved := float64(v.ledger.spent(now, v.cap.Window.Std())) / Buckets
-	if moved*float64(n)+float64(diverted+1) > v.cap.Percent/100*float64(n) {
+	if moved*float64(n)+float64(diverted+1) > part*v.cap.Percent/100*float64(n) {
 		return false
 	}
 	v.traffic.slot(now).diverted++
