keelroute: count reported queues at 0.6 of their length in targets

Cause: a standing queue counted in full beside the wait that the plan itself expects, so that shares overshot.

--- a/keelroute/target.go
+++ b/keelroute/target.go
@@ -64,6 +64,8 @@
 	// domain must be before traffic moves there. It keeps noise in the reports
 	// from spending the cap.
 	stayPart = 0.1
+	// delayPart is how much a reported queue counts beside the expected wait.
+	delayPart = 0.6
 	// smallestDemand keeps an idle source's plan defined, in slots.
 	smallestDemand = 0.1
 )
@@ -158,7 +160,7 @@
 		return 0
 	}
 	fresh := 1 - d.ReportAge.Seconds()/reportSilence.Seconds()
-	return d.QueueDelay.Seconds() * fresh
+	return delayPart * d.QueueDelay.Seconds() * fresh
 }
 
 // linkCost charges for bandwidth the more, the less of it is left.
