keelroute: the owner of a queue decides on overflow

Cause: an entry knows queues of other instances 250 ms late, which is five service times of a gallery. Change: the owner of the chosen pool, which knows its queue exactly, compares it with reports of others; the margin falls to 0.3 service times.

--- a/keelroute/overflow.go
+++ b/keelroute/overflow.go
@@ -14,7 +14,7 @@
 
 // overflowPart is how much better, as a part of the service time, another
 // domain must be before a single request leaves the domain of its bucket.
-const overflowPart = 1.0
+const overflowPart = 0.3
 
 // Overflows reports whether a request is better sent to other than to chosen.
 // Such a request is a diverted one; see [Shares.Divert].
--- a/keelroute/steering_test.go
+++ b/keelroute/steering_test.go
@@ -138,7 +138,12 @@
 	if regionOf(other) != regionOf(from) && p.wallets[from].Left(s.clock(), domainName(other), s.dep.services[r.svc].name) == 0 {
 		return dest
 	}
-	if keelroute.Overflows(p.option(s, from, dest, r.svc), p.option(s, from, other, r.svc), s.dep.services[r.svc].time) {
+	here := p.option(s, from, dest, r.svc)
+	if regionOf(dest) == regionOf(from) && !s.lost[dest] {
+		// The owner decides, a millisecond away at most, and knows its queue.
+		here.Delay = s.pools[dest][r.svc].queues[0].Delay(s.clock(), s.dep.services[r.svc].class)
+	}
+	if keelroute.Overflows(here, p.option(s, from, other, r.svc), s.dep.services[r.svc].time) {
 		return other
 	}
 	return dest
