--- a/keelroute/digest.go
+++ b/keelroute/digest.go
@@ -143,6 +143,10 @@
 	v.target = make([]int, len(v.domains))
 	v.down = make([]bool, len(v.domains))
 	copy(v.bucket[:], d.Assigned)
+	v.have = make([]int, len(v.domains))
+	for _, at := range v.bucket {
+		v.have[at]++
+	}
 	v.ledger.moves = slices.Clone(d.Moves)
 	v.updated = d.Updated
 	v.frozenUntil = d.FrozenUntil
--- a/keelroute/load_test.go
+++ b/keelroute/load_test.go
@@ -174,6 +174,7 @@
 // sim is the event loop over the cores.
 type sim struct {
 	dep       deployment
+	times     timing
 	rnd       *rand.Rand
 	now       time.Duration
 	seq       int
--- a/keelroute/shares.go
+++ b/keelroute/shares.go
@@ -199,6 +199,12 @@
 	return v.shares()
 }
 
+// Known reports whether src has a vector.
+func (s *Shares) Known(src Source) bool {
+	_, ok := s.vectors[src]
+	return ok
+}
+
 // Spent returns the part of src's traffic, from 0 to 1, that moved within the
 // cap's window that ends now.
 func (s *Shares) Spent(now time.Time, src Source) float64 {
--- a/keelroute/vector.go
+++ b/keelroute/vector.go
@@ -14,6 +14,8 @@
 	cap     keel.ShiftCap
 	domains []keel.DomainName
 	bucket  [Buckets]uint8
+	// have counts the buckets of each domain.
+	have []int
 	// target counts the buckets that each domain should have.
 	target []int
 	// down marks domains that take no traffic.
@@ -73,6 +75,7 @@
 	v.domains = append(v.domains, d)
 	v.target = append(v.target, 0)
 	v.down = append(v.down, false)
+	v.have = append(v.have, 0)
 	return len(v.domains) - 1, true
 }
 
@@ -96,6 +99,7 @@
 		d := mostBehind(left, v.target)
 		left[d]--
 		v.bucket[b] = uint8(d)
+		v.have[d]++
 	}
 }
 
@@ -153,10 +157,9 @@
 // step of the planned shift.
 func (v *vector) advance(now time.Time) {
 	v.nextMove = now.Add(v.cap.Window.Std() / stepsPerWindow)
-	have := v.counts()
-	moved := v.moveLost(v.allowance(now), have)
+	moved := v.moveLost(v.allowance(now))
 	if moved == 0 && v.stepDue(now) {
-		moved = v.movePlanned(min(v.step(), v.allowance(now)), have)
+		moved = v.movePlanned(min(v.step(), v.allowance(now)))
 	}
 	if moved == 0 {
 		return
@@ -175,7 +178,7 @@
 
 // moveLost moves buckets of lost domains to the domains furthest below their
 // target, and returns how many it moved.
-func (v *vector) moveLost(most int, have []int) int {
+func (v *vector) moveLost(most int) int {
 	moved := 0
 	if !slices.Contains(v.down, true) {
 		return 0
@@ -187,8 +190,8 @@
 		if !v.down[from] {
 			continue
 		}
-		if to := v.neediest(have); to >= 0 {
-			v.move(b, to, have)
+		if to := v.neediest(); to >= 0 {
+			v.move(b, to)
 			moved++
 		}
 	}
@@ -196,54 +199,46 @@
 }
 
 // movePlanned moves buckets from domains above their target to those below.
-func (v *vector) movePlanned(most int, have []int) int {
+func (v *vector) movePlanned(most int) int {
 	moved := 0
 	for b, from := range v.bucket {
 		if moved >= most {
 			break
 		}
-		if have[from] <= v.target[from] {
+		if v.have[from] <= v.target[from] {
 			continue
 		}
-		to := v.neediest(have)
-		if to < 0 || have[to] >= v.target[to] {
+		to := v.neediest()
+		if to < 0 || v.have[to] >= v.target[to] {
 			break
 		}
-		v.move(b, to, have)
+		v.move(b, to)
 		moved++
 	}
 	return moved
 }
 
-func (v *vector) move(bucket, to int, have []int) {
-	have[v.bucket[bucket]]--
-	have[to]++
+func (v *vector) move(bucket, to int) {
+	v.have[v.bucket[bucket]]--
+	v.have[to]++
 	v.bucket[bucket] = uint8(to)
 }
 
 // neediest returns the usable domain with a target that has the smallest part
 // of it, or -1.
-func (v *vector) neediest(have []int) int {
+func (v *vector) neediest() int {
 	best, least := -1, math.Inf(1)
 	for i, want := range v.target {
 		if want == 0 || v.down[i] {
 			continue
 		}
-		if part := float64(have[i]) / float64(want); part < least {
+		if part := float64(v.have[i]) / float64(want); part < least {
 			best, least = i, part
 		}
 	}
 	return best
 }
 
-func (v *vector) counts() []int {
-	have := make([]int, len(v.domains))
-	for _, d := range v.bucket {
-		have[d]++
-	}
-	return have
-}
-
 func (v *vector) pick(bucket int) (keel.DomainName, bool) {
 	at := v.bucket[bucket]
 	if v.down[at] {
@@ -266,7 +261,7 @@
 
 func (v *vector) shares() []keel.DomainWeight {
 	var list []keel.DomainWeight
-	for i, n := range v.counts() {
+	for i, n := range v.have {
 		if n > 0 {
 			list = append(list, keel.DomainWeight{Domain: v.domains[i], Weight: float64(n) / Buckets})
 		}
