--- /dev/null
+++ b/keelpeer/dump.go
@@ -0,0 +1,77 @@
+package keelpeer
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelchart"
+)
+
+// LinkState is one connection as it stands in the state dump.
+type LinkState struct {
+	Peer    keel.InstanceName `json:"peer"`
+	Address netip.AddrPort    `json:"address"`
+	// Class is what the connection is for, with the version of its protocol.
+	Class string          `json:"class"`
+	State keelchart.State `json:"state"`
+	Age   keel.Duration   `json:"age"`
+	// InFlight is the number of calls and streams.
+	InFlight int64         `json:"in_flight"`
+	RTT      keel.Duration `json:"rtt"`
+	// BytesSent and BytesReceived don't count the headers of UDP and IP.
+	BytesSent       uint64 `json:"bytes_sent"`
+	BytesReceived   uint64 `json:"bytes_received"`
+	PacketsSent     uint64 `json:"packets_sent"`
+	PacketsReceived uint64 `json:"packets_received"`
+}
+
+// Links returns the live connections in the order of their addresses.
+func (t *Transport) Links() []LinkState {
+	now := t.cfg.Clock.Now()
+	var all []LinkState
+	for _, p := range t.allPeers() {
+		all = append(all, p.linkStates(now)...)
+	}
+	slices.SortFunc(all, func(a, b LinkState) int {
+		if c := a.Address.Compare(b.Address); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Class, b.Class)
+	})
+	return all
+}
+
+// Blocked returns the addresses that [Transport.Block] cut off.
+func (t *Transport) Blocked() []netip.AddrPort { return t.filter.list() }
+
+func (p *peer) linkStates(now time.Time) []LinkState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []LinkState
+	for _, l := range p.links {
+		if l.alive() {
+			all = append(all, l.dump(p.key, now))
+		}
+	}
+	return all
+}
+
+func (l *link) dump(key poolKey, now time.Time) LinkState {
+	s := l.conn.ConnectionStats()
+	return LinkState{
+		Peer:            l.name,
+		Address:         key.addr,
+		Class:           string(key.class),
+		State:           l.watch.machine.State(),
+		Age:             keel.Duration(now.Sub(l.opened)),
+		InFlight:        l.inFlight.Load(),
+		RTT:             keel.Duration(s.SmoothedRTT),
+		BytesSent:       s.BytesSent,
+		BytesReceived:   s.BytesReceived,
+		PacketsSent:     s.PacketsSent,
+		PacketsReceived: s.PacketsReceived,
+	}
+}
--- a/keelpeer/filter.go
+++ b/keelpeer/filter.go
@@ -1,8 +1,10 @@
 package keelpeer
 
 import (
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -51,6 +53,14 @@
 	f.blocked.Store(&next)
 }
 
+func (f *filter) list() []netip.AddrPort {
+	m := f.blocked.Load()
+	if m == nil {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(*m), netip.AddrPort.Compare)
+}
+
 func (f *filter) passes(addr netip.AddrPort) bool {
 	if m := f.blocked.Load(); m != nil && (*m)[unmapped(addr)] {
 		return false
