keelload, keelscenario, scenario: scripted scenarios over real processes

Instances whose settings allow it offer fault injection on the operator port, which drops packets of the peer transport both ways or only those sent. The dump shows peer connections and cuts.

--- a/keelinstance/state.go
+++ b/keelinstance/state.go
@@ -1,6 +1,7 @@
 package keelinstance
 
 import (
+	"net/netip"
 	"runtime"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/greengagekeel/greengagekeel/keeldeclare"
 	"github.com/greengagekeel/greengagekeel/keelmember"
 	"github.com/greengagekeel/greengagekeel/keeloperate"
+	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelquorum"
 	"github.com/greengagekeel/greengagekeel/keelsteer"
 )
@@ -32,6 +34,8 @@
 	Steering  keelsteer.Dump           `json:"steering"`
 	Claims    any                      `json:"claims"`
 	Guard     any                      `json:"guard"`
+	Links     []keelpeer.LinkState     `json:"links"`
+	Blocked   []netip.AddrPort         `json:"blocked,omitempty"`
 }
 
 // ProcessDump is what the process uses.
@@ -64,6 +68,8 @@
 		Steering:  in.engine.Dump(),
 		Claims:    in.claims.Dump(),
 		Guard:     in.guard.Dump(),
+		Links:     in.peer.Links(),
+		Blocked:   in.peer.Blocked(),
 	}
 	if err := s.Ready(); err != nil {
 		d.Ready = err.Error()
@@ -88,10 +94,14 @@
 }
 
 func (in *Instance) newOperatorApp() *fiber.App {
-	return keeloperate.NewApp(keeloperate.Config{
+	cfg := keeloperate.Config{
 		Control: in.control,
 		State:   stateDump{in},
 		Metrics: in.metrics.handler(),
 		Token:   in.cfg.Keys.OperatorToken,
-	})
+	}
+	if in.cfg.Settings.FaultInjection {
+		cfg.Faults = in.peer
+	}
+	return keeloperate.NewApp(cfg)
 }
--- /dev/null
+++ b/keelload/load.go
@@ -0,0 +1,298 @@
+package keelload
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelstandin"
+	"github.com/greengagekeel/greengagekeel/keelsteer"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// Config says where a load goes.
+type Config struct {
+	Spec Spec
+	// Entries lists caller ports of instances to ask for look-ups.
+	Entries []netip.AddrPort
+	// Direct sends every request to the entries without a look-up.
+	Direct bool
+}
+
+// Load is requests under way.
+type Load struct {
+	cfg    Config
+	client *http.Client
+	record record
+	// next is the number of the next request.
+	mu      sync.Mutex
+	next    int
+	cached  *keelsteer.LookupAnswer
+	expires time.Time
+}
+
+const (
+	resendPause    = 50 * time.Millisecond
+	maxResendPause = time.Second
+)
+
+// New returns a load that does not run yet.
+func New(cfg Config) *Load {
+	cfg.Spec.setDefaults()
+	return &Load{
+		cfg: cfg,
+		client: &http.Client{
+			Timeout:   cfg.Spec.Timeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Spec.Callers},
+		},
+	}
+}
+
+// Run sends requests until all are sent or stop is closed, and waits for the
+// last to end.
+func (l *Load) Run(ctx context.Context, stop <-chan struct{}) {
+	defer l.client.CloseIdleConnections()
+	l.record.mu.Lock()
+	l.record.tally.answerAt(time.Now())
+	l.record.mu.Unlock()
+	callers := pool.New()
+	for range l.cfg.Spec.Callers {
+		callers.Go(func() { l.loop(ctx, stop) })
+	}
+	callers.Wait()
+}
+
+func (l *Load) loop(ctx context.Context, stop <-chan struct{}) {
+	for ctx.Err() == nil {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		n, ok := l.take()
+		if !ok {
+			return
+		}
+		l.runRequest(ctx, l.cfg.Spec.request(n))
+	}
+}
+
+func (l *Load) take() (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cfg.Spec.Requests > 0 && l.next >= l.cfg.Spec.Requests {
+		return 0, false
+	}
+	l.next++
+	return l.next - 1, true
+}
+
+// Tally returns the counts so far.
+func (l *Load) Tally() Tally {
+	l.record.mu.Lock()
+	defer l.record.mu.Unlock()
+	t := l.record.tally
+	t.Details = slices.Clone(t.Details)
+	return t
+}
+
+// Verify compares what callers were told with what the endpoints counted. It
+// returns one text for each contradiction.
+func (l *Load) Verify(counts []keelstandin.Counts) []string {
+	byKey, byToken := map[string]int{}, map[string]int{}
+	for _, c := range counts {
+		for k, n := range c.ByKey {
+			byKey[k] += n
+		}
+		for k, n := range c.ByToken {
+			byToken[k] += n
+		}
+	}
+	l.record.mu.Lock()
+	defer l.record.mu.Unlock()
+	var bad []string
+	for _, token := range l.record.unrun {
+		if n := byToken[token]; n > 0 {
+			bad = append(bad, "send "+token+" was refused as not run, but ran "+strconv.Itoa(n)+" times")
+		}
+	}
+	for _, key := range l.record.unkeys {
+		if n := byKey[key]; n > 0 {
+			bad = append(bad, "key "+key+" was always refused as not run, but ran "+strconv.Itoa(n)+" times")
+		}
+	}
+	for _, key := range l.record.keys {
+		if n := byKey[key]; n > 1 {
+			bad = append(bad, "key "+key+" ran "+strconv.Itoa(n)+" times")
+		}
+	}
+	return bad
+}
+
+// runRequest sends a request until it is answered, may not be sent again, or
+// was sent often enough.
+func (l *Load) runRequest(ctx context.Context, r *request) {
+	start := time.Now()
+	onlyUnrun := true
+	var o outcome
+	for send := range r.spec.Sends {
+		o = l.send(ctx, r, send)
+		onlyUnrun = onlyUnrun && o.kind == notRun
+		token := r.token(send)
+		if r.spec.Keyed {
+			token = ""
+		}
+		l.record.sent(token, o)
+		if !mayResend(r, o) || !pause(ctx, o.retryAfter) {
+			break
+		}
+	}
+	now := time.Now()
+	l.record.ended(r.key(), o, onlyUnrun, now.Sub(start), now)
+}
+
+func mayResend(r *request, o outcome) bool {
+	switch o.kind {
+	case notRun:
+		return true
+	case lost, mayHaveRun:
+		return r.resendable()
+	default:
+		return false
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(min(max(d, resendPause), maxResendPause)):
+		return true
+	}
+}
+
+func (l *Load) send(ctx context.Context, r *request, send int) outcome {
+	addrs, err := l.instances(ctx, send > 0)
+	if err != nil {
+		return outcome{kind: notRun, detail: err.Error()}
+	}
+	req, err := r.http(ctx, addrs[send%len(addrs)], send)
+	if err != nil {
+		return outcome{kind: lost, detail: err.Error()}
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return outcome{kind: lost, detail: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if verdict := resp.Header.Get(keelproxy.HeaderVerdict); verdict != "" {
+		return refused(verdict, resp)
+	}
+	return check(r, send, resp)
+}
+
+// instances returns the addresses to use, from memory while they are valid.
+func (l *Load) instances(ctx context.Context, afresh bool) ([]netip.AddrPort, error) {
+	if l.cfg.Direct {
+		return l.cfg.Entries, nil
+	}
+	l.mu.Lock()
+	cached := l.cached
+	if afresh || time.Now().After(l.expires) {
+		cached = nil
+	}
+	l.mu.Unlock()
+	if cached == nil {
+		var err error
+		if cached, err = l.lookUp(ctx); err != nil {
+			return nil, err
+		}
+	}
+	out := make([]netip.AddrPort, len(cached.Instances))
+	for i, in := range cached.Instances {
+		out[i] = in.Address
+	}
+	return out, nil
+}
+
+// lookUp asks the entries in a random order until one answers.
+func (l *Load) lookUp(ctx context.Context) (*keelsteer.LookupAnswer, error) {
+	q := url.Values{"service": {string(l.cfg.Spec.Service)}, "path": {l.cfg.Spec.Path}, "method": {l.cfg.Spec.Method}}
+	err := errors.New("no entries are configured")
+	for _, i := range rand.Perm(len(l.cfg.Entries)) {
+		var a *keelsteer.LookupAnswer
+		if a, err = keelsteer.LookUp(ctx, l.cfg.Entries[i], q); err != nil {
+			continue
+		}
+		l.mu.Lock()
+		l.cached, l.expires = a, time.Now().Add(a.ExpiresIn.Std())
+		l.mu.Unlock()
+		return a, nil
+	}
+	return nil, err
+}
+
+func refused(verdict string, resp *http.Response) outcome {
+	o := outcome{kind: mayHaveRun}
+	switch verdict {
+	case keel.NotRun.String():
+		o.kind = notRun
+	case keel.Ran.String():
+		o.kind = ran
+	}
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		o.retryAfter = time.Duration(s) * time.Second
+	}
+	detail, _ := io.ReadAll(resp.Body) // what can't be read is not shown
+	o.detail = string(detail)
+	return o
+}
+
+// check compares an answer with what the endpoint must have sent.
+func check(r *request, send int, resp *http.Response) outcome {
+	token := r.token(send)
+	if got := resp.Header.Get(keelstandin.HeaderToken); got != token {
+		return outcome{kind: wrong, detail: "answer to " + token + " has status " + resp.Status + " and token " + strconv.Quote(got)}
+	}
+	if resp.Header.Get(keelstandin.HeaderChecksum) != keelstandin.Checksum(r.body) {
+		return outcome{kind: wrong, detail: "the endpoint got another body than that of " + token}
+	}
+	if r.spec.Method == http.MethodHead {
+		return outcome{kind: answered, domain: keel.DomainName(resp.Header.Get(keelproxy.HeaderServedBy))}
+	}
+	body := &trackingReader{Reader: resp.Body}
+	err := keelstandin.CheckBody(body, token, r.spec.AnswerBytes)
+	switch {
+	case err == nil:
+		return outcome{kind: answered, domain: keel.DomainName(resp.Header.Get(keelproxy.HeaderServedBy))}
+	case body.failed:
+		return outcome{kind: lost, detail: err.Error()}
+	default:
+		return outcome{kind: wrong, detail: err.Error()}
+	}
+}
+
+// trackingReader notes whether the answer broke off where the caller sees it.
+type trackingReader struct {
+	io.Reader
+	failed bool
+}
+
+// Read implements [io.Reader].
+func (r *trackingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.failed = true
+	}
+	return n, err
+}
--- a/keeloperate/app.go
+++ b/keeloperate/app.go
@@ -108,6 +108,8 @@
 	Token func() string
 	// MaxChangeBytes bounds the body of a change.
 	MaxChangeBytes int
+	// Faults lets operators cut the instance off from others; nil refuses it.
+	Faults FaultInjector
 }
 
 const (
@@ -134,6 +136,10 @@
 	app.Get(PathState, h.state)
 	app.Get(PathMetrics, adaptor.HTTPHandler(cfg.Metrics))
 	app.Post(PathChanges, h.authorise, h.change)
+	if cfg.Faults != nil {
+		app.Post(PathCut, h.authorise, h.cut)
+		app.Post(PathHeal, h.authorise, h.heal)
+	}
 	return app
 }
 
--- a/keelpeer/filter.go
+++ b/keelpeer/filter.go
@@ -11,25 +11,33 @@
 	"golang.org/x/net/ipv4"
 )
 
+// direction is a set of ways that packets go.
+type direction uint8
+
+const (
+	directionSend direction = 1 << iota
+	directionReceive
+)
+
 // filter says which addresses packets may go to and come from.
 type filter struct {
 	custom  func(netip.AddrPort) bool
 	mu      sync.Mutex
-	blocked atomic.Pointer[map[netip.AddrPort]bool]
+	blocked atomic.Pointer[map[netip.AddrPort]direction]
 }
 
 func newFilter(custom func(netip.AddrPort) bool) *filter { return &filter{custom: custom} }
 
-func (f *filter) block(addrs []netip.AddrPort) {
-	f.change(func(m map[netip.AddrPort]bool) {
+func (f *filter) block(addrs []netip.AddrPort, d direction) {
+	f.change(func(m map[netip.AddrPort]direction) {
 		for _, a := range addrs {
-			m[unmapped(a)] = true
+			m[unmapped(a)] |= d
 		}
 	})
 }
 
 func (f *filter) unblock(addrs []netip.AddrPort) {
-	f.change(func(m map[netip.AddrPort]bool) {
+	f.change(func(m map[netip.AddrPort]direction) {
 		if len(addrs) == 0 {
 			clear(m)
 		}
@@ -40,14 +48,12 @@
 }
 
 // change replaces the set, so that readers need no lock.
-func (f *filter) change(edit func(map[netip.AddrPort]bool)) {
+func (f *filter) change(edit func(map[netip.AddrPort]direction)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := map[netip.AddrPort]bool{}
+	next := map[netip.AddrPort]direction{}
 	if old := f.blocked.Load(); old != nil {
-		for a := range *old {
-			next[a] = true
-		}
+		maps.Copy(next, *old)
 	}
 	edit(next)
 	f.blocked.Store(&next)
@@ -61,16 +67,16 @@
 	return slices.SortedFunc(maps.Keys(*m), netip.AddrPort.Compare)
 }
 
-func (f *filter) passes(addr netip.AddrPort) bool {
-	if m := f.blocked.Load(); m != nil && (*m)[unmapped(addr)] {
+func (f *filter) passes(addr net.Addr, d direction) bool {
+	udp, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return true
+	}
+	ap := unmapped(udp.AddrPort())
+	if m := f.blocked.Load(); m != nil && (*m)[ap]&d != 0 {
 		return false
 	}
-	return f.custom == nil || f.custom(unmapped(addr))
-}
-
-func (f *filter) passesAddr(addr net.Addr) bool {
-	udp, ok := addr.(*net.UDPAddr)
-	return !ok || f.passes(udp.AddrPort())
+	return f.custom == nil || f.custom(ap)
 }
 
 // filteredConn drops packets that the filter does not pass. It keeps the batched
@@ -90,7 +96,7 @@
 func (c *filteredConn) ReadBatch(ms []ipv4.Message, flags int) (int, error) {
 	n, err := c.batch.ReadBatch(ms, flags)
 	for i := range n {
-		if !c.filter.passesAddr(ms[i].Addr) {
+		if !c.filter.passes(ms[i].Addr, directionReceive) {
 			ms[i].N = 0
 		}
 	}
@@ -99,7 +105,7 @@
 
 // WriteMsgUDP drops the packet if the filter does not pass its address.
 func (c *filteredConn) WriteMsgUDP(b, oob []byte, addr *net.UDPAddr) (n, oobn int, err error) {
-	if !c.filter.passesAddr(addr) {
+	if !c.filter.passes(addr, directionSend) {
 		return len(b), len(oob), nil
 	}
 	return c.UDPConn.WriteMsgUDP(b, oob, addr)
@@ -107,7 +113,7 @@
 
 // WriteTo drops the packet if the filter does not pass its address.
 func (c *filteredConn) WriteTo(b []byte, addr net.Addr) (int, error) {
-	if !c.filter.passesAddr(addr) {
+	if !c.filter.passes(addr, directionSend) {
 		return len(b), nil
 	}
 	return c.UDPConn.WriteTo(b, addr)
--- a/keelpeer/transport.go
+++ b/keelpeer/transport.go
@@ -128,9 +128,15 @@
 }
 
 // Block drops every packet to and from the given addresses from now on.
-func (t *Transport) Block(addrs ...netip.AddrPort) { t.filter.block(addrs) }
+func (t *Transport) Block(addrs ...netip.AddrPort) {
+	t.filter.block(addrs, directionSend|directionReceive)
+}
+
+// BlockSend drops every packet to the given addresses from now on, but not those
+// that come from them.
+func (t *Transport) BlockSend(addrs ...netip.AddrPort) { t.filter.block(addrs, directionSend) }
 
-// Unblock ends the effect of [Transport.Block] for the given addresses, or for
+// Unblock ends the effect of [Transport.Block] and [Transport.BlockSend] for the given addresses, or for
 // all if none is given.
 func (t *Transport) Unblock(addrs ...netip.AddrPort) { t.filter.unblock(addrs) }
 
--- /dev/null
+++ b/keelscenario/change.go
@@ -0,0 +1,95 @@
+package keelscenario
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/sourcegraph/conc"
+)
+
+// labelChange returns a change that sets one label rule.
+func labelChange(id keel.ChangeID, base keel.Version, rule string) keel.Change {
+	r := keel.LabelRule{
+		Name: rule, Target: keel.TargetService, Names: []string{"nothing"},
+		Set: keel.Labels{"scenario": string(id)},
+	}
+	return keel.Change{
+		ID: id, Base: base, Author: "scenario", Time: time.Now().UTC(),
+		Ops: []keel.Op{{Action: keel.OpPut, Kind: keel.KindLabel, Name: rule, Label: &r}},
+	}
+}
+
+// cmdRace lets operators submit different changes to the same version at once,
+// in turn at the instances named, and fails unless exactly one wins.
+func cmdRace(c *cluster, args []string) {
+	n := c.number(args[0])
+	entries := make([]*instance, len(args)-1)
+	for i, name := range args[1:] {
+		entries[i] = c.instance(name)
+	}
+	declared, err := c.client(entries[0]).Declared(c.ctx)
+	c.check(err)
+	var (
+		mu       sync.Mutex
+		outcomes = map[keel.OutcomeStatus]int{}
+		winners  = map[keel.ChangeID]bool{}
+		group    conc.WaitGroup
+	)
+	for i := range n {
+		client := c.client(entries[i%len(entries)])
+		group.Go(func() {
+			id := keel.ChangeID("race-" + strconv.Itoa(i) + "-v" + strconv.FormatUint(uint64(declared.Version), 10))
+			o, err := client.Submit(c.ctx, labelChange(id, declared.Version, "race"))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				outcomes[keel.OutcomeStatus(err.Error())]++
+				return
+			}
+			outcomes[o.Status]++
+			if o.Status == keel.OutcomeAccepted {
+				winners[o.ID] = true
+			} else {
+				winners[o.Winner] = true
+			}
+		})
+	}
+	group.Wait()
+	if outcomes[keel.OutcomeAccepted] != 1 || outcomes[keel.OutcomeConflict] != n-1 || len(winners) != 1 {
+		c.fatalf("outcomes %v, winners %v", outcomes, winners)
+	}
+}
+
+// cmdChanges submits changes one after the other, each again with another id
+// until it is accepted, and sets $version to the version that the last one made.
+func cmdChanges(c *cluster, args []string) {
+	client := c.client(c.instance(args[0]))
+	declared, err := client.Declared(c.ctx)
+	c.check(err)
+	base := declared.Version
+	for i := range c.number(args[1]) {
+		tries := 0
+		c.until("change "+strconv.Itoa(i), func() (bool, string) {
+			id := keel.ChangeID(fmt.Sprintf("%s-%d-%d", args[2], i, tries))
+			tries++
+			o, err := client.Submit(c.ctx, labelChange(id, base, args[2]))
+			if err != nil {
+				return false, err.Error()
+			}
+			base = o.Version
+			return o.Status == keel.OutcomeAccepted, string(o.Status)
+		})
+	}
+	c.ts.Setenv("version", strconv.FormatUint(uint64(base), 10))
+}
+
+// cmdResend submits a change with a known id again, made against version 0, and
+// prints the outcome, which has to be the recorded one.
+func cmdResend(c *cluster, args []string) {
+	o, err := c.client(c.instance(args[0])).Submit(c.ctx, labelChange(keel.ChangeID(args[1]), 0, "resend"))
+	c.check(err)
+	fmt.Fprintf(c.ts.Stdout(), "%s %d\n", o.Status, o.Version)
+}
--- /dev/null
+++ b/keelscenario/process.go
@@ -0,0 +1,87 @@
+package keelscenario
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"syscall"
+)
+
+// process is one process of the program.
+type process struct {
+	cmd     *exec.Cmd
+	logFile string
+	done    chan struct{}
+	err     error
+}
+
+// startProcess starts the program with its log going to a file.
+func (c *cluster) startProcess(logFile string, args ...string) *process {
+	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	c.check(err)
+	p := &process{cmd: exec.Command(c.program, args...), logFile: logFile, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	c.check(p.cmd.Start())
+	_ = log.Close()
+	c.group.Go(p.run)
+	return p
+}
+
+func (p *process) run() {
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *process) running() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	if !p.running() {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *process) signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// exit waits for the end of the process and returns its error.
+func (p *process) exit() error {
+	<-p.done
+	return p.err
+}
+
+// tail returns the end of the process's log.
+func (p *process) tail() string {
+	const tailBytes = 2000
+	data, err := os.ReadFile(p.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-tailBytes):])
+}
+
+// waitFile waits until a starting process has written its addresses.
+func (c *cluster) waitFile(p *process, file string, v any) {
+	c.until("start of "+p.cmd.String(), func() (bool, string) {
+		data, err := os.ReadFile(file)
+		if err == nil {
+			c.check(json.Unmarshal(data, v))
+			return true, ""
+		}
+		if !p.running() {
+			c.fatalf("process has ended: %v\n%s", p.err, p.tail())
+		}
+		return false, p.tail()
+	})
+}
