keelstore: tests of torn, flipped and missing files, and a fuzz target

Cause: any damage but a lost last write must be refused. Change: tables for torn tails at each length, for each flipped bit of each file, for missing and foreign files and for failed syncs. The memory storage copies its entries only when it drops some.

--- /dev/null
+++ b/keelstore/damage_test.go
@@ -0,0 +1,228 @@
+package keelstore_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelstore"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// fill makes a folder with a snapshot of entry 5, several log files and entries
+// up to 20.
+func fill(t testing.TB) string {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, err := keelstore.Open(keelstore.Config{Dir: dir, SegmentSize: 120})
+	is.NoErr(err)
+	is.NoErr(s.SaveVote(keel.StoredVote{Term: 1, For: "a"}))
+	for i := uint64(1); i <= 10; i++ {
+		is.NoErr(s.Append(entries(1, i, i)))
+	}
+	is.NoErr(s.SaveSnapshot(keel.StoredSnapshot{Index: 5, Term: 1, Voters: []keel.Voter{{Name: "a", Incarnation: 1}}, Data: []byte("state")}))
+	for i := uint64(11); i <= 20; i++ {
+		is.NoErr(s.Append(entries(1, i, i)))
+	}
+	is.NoErr(s.Close())
+	return dir
+}
+
+func logFiles(t testing.TB, dir string) []string {
+	names, err := filepath.Glob(filepath.Join(dir, "log-*.keel"))
+	is.New(t).NoErr(err)
+	return names
+}
+
+// lastEntry opens the folder and returns the last entry's index.
+func lastEntry(dir string) (uint64, error) {
+	s, err := keelstore.Open(keelstore.Config{Dir: dir})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = s.Close() }()
+	st, err := s.Load()
+	if err != nil || len(st.Entries) == 0 {
+		return st.Snapshot.Index, err
+	}
+	return st.Entries[len(st.Entries)-1].Index, nil
+}
+
+// A file that ends early is a torn write only at the end of the last log file.
+// There each length gives the entries that are whole, and none else.
+func TestTornTail(t *testing.T) {
+	is := is.New(t)
+	source := fill(t)
+	files := logFiles(t, source)
+	last := files[len(files)-1]
+	whole, err := os.ReadFile(last)
+	is.NoErr(err)
+	seg, err := keelstore.ReadSegment(last, whole)
+	is.NoErr(err)
+	const headerSize = 32
+	for n := headerSize; n < len(whole); n++ {
+		for _, zeros := range []int{0, 700} {
+			cut := append(slices.Clone(whole[:n]), make([]byte, zeros)...)
+			got, err := keelstore.ReadSegment(last, cut)
+			if zeros > 0 && err != nil {
+				// Zeros that start inside a sector with data may be damage too.
+				continue
+			}
+			is.NoErr(err)
+			is.True(len(got.Entries) <= len(seg.Entries) && got.Size <= int64(n))
+			is.Equal(append([]keel.LogEntry{}, got.Entries...), seg.Entries[:len(got.Entries):len(got.Entries)])
+			is.Equal(got.Torn, got.Size < int64(len(cut)))
+		}
+	}
+	is.NoErr(os.WriteFile(last, whole[:len(whole)-3], 0o600))
+	r, err := keelstore.Verify(source)
+	is.NoErr(err)
+	is.True(r.Files[len(r.Files)-1].Torn)
+	index, err := lastEntry(source)
+	is.NoErr(err)
+	is.Equal(index, uint64(19))
+	r, err = keelstore.Verify(source)
+	is.NoErr(err)
+	is.True(!r.Files[len(r.Files)-1].Torn) // it was cut off
+	is.Equal(r.Last, uint64(19))
+	is.True(strings.Contains(r.String(), "entry 19: term 1, command, 3 bytes"))
+}
+
+// Every flipped bit of every file is refused with the file and a place.
+func TestBitFlips(t *testing.T) {
+	is := is.New(t)
+	dir := fill(t)
+	names := append(logFiles(t, dir), filepath.Join(dir, "vote.keel"), filepath.Join(dir, "snapshot.keel"))
+	is.True(len(names) > 3)
+	for _, name := range names {
+		whole, err := os.ReadFile(name)
+		is.NoErr(err)
+		for bit := range len(whole) * 8 {
+			b := slices.Clone(whole)
+			b[bit/8] ^= 1 << (bit % 8)
+			is.NoErr(os.WriteFile(name, b, 0o600))
+			_, err := keelstore.Verify(dir)
+			var damage *keelstore.DamageError
+			if !errors.As(err, &damage) || damage.File != name || damage.Offset > int64(bit/8) && damage.Offset != 24 {
+				t.Fatalf("%s: bit %d flipped: got %v", name, bit, err)
+			}
+		}
+		is.NoErr(os.WriteFile(name, whole, 0o600))
+	}
+	_, err := keelstore.Verify(dir)
+	is.NoErr(err)
+}
+
+func TestMissingAndForeignFiles(t *testing.T) {
+	tests := []struct {
+		name, want string
+		harm       func(dir string, logs []string) error
+	}{
+		{"vote", "file is missing", func(dir string, _ []string) error { return os.Remove(filepath.Join(dir, "vote.keel")) }},
+		{"snapshot", "which no file before it holds", func(dir string, _ []string) error { return os.Remove(filepath.Join(dir, "snapshot.keel")) }},
+		{"first log file", "which no file before it holds", func(_ string, logs []string) error { return os.Remove(logs[0]) }},
+		{"log file between", "is missing", func(_ string, logs []string) error { return os.Remove(logs[1]) }},
+		{"all log files", "every file of the log is missing", func(_ string, logs []string) error {
+			for _, name := range logs {
+				if err := os.Remove(name); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"log file of another place", "", func(_ string, logs []string) error { return os.Rename(logs[0], logs[1]) }},
+		{"torn file before the last", "another log file follows", func(_ string, logs []string) error { return os.Truncate(logs[0], 100) }},
+		{"vote in place of a log", `want "KEEL"`, func(_ string, logs []string) error { return os.WriteFile(logs[0], make([]byte, 99), 0o600) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			dir := fill(t)
+			is.NoErr(tt.harm(dir, logFiles(t, dir)))
+			_, err := lastEntry(dir)
+			var damage *keelstore.DamageError
+			is.True(errors.As(err, &damage))
+			is.True(strings.Contains(err.Error(), tt.want))
+		})
+	}
+}
+
+// After a failed sync the store refuses everything, and a restart finds what
+// was acknowledged.
+func TestFailedSync(t *testing.T) {
+	writes := map[string]func(s *keelstore.Store) error{
+		"append":   func(s *keelstore.Store) error { return s.Append(entries(1, 4, 4)) },
+		"vote":     func(s *keelstore.Store) error { return s.SaveVote(keel.StoredVote{Term: 9}) },
+		"snapshot": func(s *keelstore.Store) error { return s.SaveSnapshot(keel.StoredSnapshot{Index: 2, Term: 1}) },
+	}
+	for name, write := range writes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			full := false
+			cfg := keelstore.Config{Dir: t.TempDir(), Sync: func(f *os.File) error {
+				if full {
+					return syscall.ENOSPC
+				}
+				return f.Sync()
+			}}
+			s, err := keelstore.Open(cfg)
+			is.NoErr(err)
+			_, err = keelstore.Open(cfg)
+			is.True(err != nil) // the folder is in use
+			is.NoErr(s.Append(entries(1, 1, 3)))
+			full = true
+			var failed *keelstore.FailedError
+			is.True(errors.As(write(s), &failed))
+			is.True(errors.Is(s.Failed(), syscall.ENOSPC))
+			full = false
+			for _, again := range writes {
+				is.True(errors.As(again(s), &failed)) // stays failed
+			}
+			is.NoErr(s.Close())
+			index, err := lastEntry(cfg.Dir)
+			is.NoErr(err)
+			is.True(index == 3 || index == 4) // 4 was written, but not acknowledged
+		})
+	}
+}
+
+func FuzzReadSegment(f *testing.F) {
+	for _, name := range logFiles(f, fill(f)) {
+		b, err := os.ReadFile(name)
+		is.New(f).NoErr(err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		seg, err := keelstore.ReadSegment("log", b)
+		var damage *keelstore.DamageError
+		if err != nil && !errors.As(err, &damage) {
+			t.Fatal(err)
+		}
+		if err == nil && seg.Torn != (seg.Size < int64(len(b))) {
+			t.Fatalf("%d of %d bytes are whole, torn is %v", seg.Size, len(b), seg.Torn)
+		}
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, batch := range []uint64{1, 32} {
+		b.Run(fmt.Sprintf("%d entries a sync", batch), func(b *testing.B) {
+			is := is.New(b)
+			s, err := keelstore.Open(keelstore.Config{Dir: b.TempDir()})
+			is.NoErr(err)
+			next := uint64(1)
+			for b.Loop() {
+				is.NoErr(s.Append(entries(1, next, next+batch-1)))
+				next += batch
+			}
+			is.NoErr(s.Close())
+		})
+	}
+}
--- a/keelstore/memory.go
+++ b/keelstore/memory.go
@@ -104,7 +104,10 @@
 	if first <= base || first > base+n+1 {
 		return errors.Errorf("append entry %d to a log of entries %d to %d", first, base+1, base+n)
 	}
-	m.state.Entries = append(slices.Clone(m.state.Entries[:first-base-1]), entries...)
+	if first <= base+n {
+		m.state.Entries = slices.Clone(m.state.Entries[:first-base-1])
+	}
+	m.state.Entries = append(m.state.Entries, entries...)
 	return nil
 }
 
