--- a/keelquorum/fault_test.go
+++ b/keelquorum/fault_test.go
@@ -127,6 +127,18 @@
 				}
 			})
 		}},
+		{"voters removed and added under cuts", func(s *sim) {
+			s.rounds(30, 100, func() {
+				s.randomCuts()
+				for _, v := range s.voters {
+					if s.rnd.IntN(2) == 0 {
+						_ = v.core.RemoveVoter(s.clock(v), s.pick().name)
+					} else {
+						_ = v.core.AddVoter(s.clock(v), s.pick().name)
+					}
+				}
+			})
+		}},
 		{"all of it", everything},
 	}
 	for at := stepBeforeEarly; at < stepCount; at++ {
@@ -169,8 +181,9 @@
 		s.crash(v)
 		last := v.index
 		s.until(5000, func() bool { l := s.leader(); return l != nil && l.index > last+500 })
+		missing := s.last
 		s.start(v)
-		if !s.until(2000, func() bool { l := s.leader(); return l != nil && v.index+5 > l.index }) {
+		if !s.until(2000, func() bool { return v.index >= missing }) {
 			s.fail("%s holds entry %d and did not catch up", v.name, v.index)
 		}
 	}
--- a/keelquorum/sim_test.go
+++ b/keelquorum/sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -59,20 +58,18 @@
 	read, done bool
 }
 
-type packet struct {
-	at int
-	m  keelquorum.Message
-}
-
 // sim runs voters on a virtual clock and checks them at every millisecond.
 type sim struct {
-	t      testing.TB
+	t interface {
+		Errorf(format string, args ...any)
+	}
 	rnd    *rand.Rand
 	names  []keel.InstanceName
 	voters []*simVoter
-	now    int // virtual milliseconds
-	net    []packet
+	now    int                           // virtual milliseconds
+	net    map[int][]*keelquorum.Message // by the millisecond of arrival
 	cut    map[[2]keel.InstanceName]bool
+	delay  map[[2]keel.InstanceName]int // milliseconds
 	drop, double, slow,
 	propose, read float64 // probabilities
 	disks     uint64
@@ -81,20 +78,30 @@
 	ops       []*op
 	entries   map[uint64]uint64 // command id by index
 	chains    map[uint64]uint64 // chain by index
+	terms     map[uint64]uint64 // by index
+	last      uint64            // applied by any voter
 	leaders   map[uint64]keel.InstanceName
 	refused   int
 	failed    bool
 }
 
-func newSim(t testing.TB, seed uint64, voters int) *sim {
+func newSim(t interface {
+	Errorf(format string, args ...any)
+}, seed uint64, voters int,
+) *sim {
 	s := &sim{
-		t: t, rnd: rand.New(rand.NewPCG(seed, uint64(voters))), cut: map[[2]keel.InstanceName]bool{},
-		propose: 0.2, read: 0.1, snapEvery: 1 << 30,
-		entries: map[uint64]uint64{}, chains: map[uint64]uint64{}, leaders: map[uint64]keel.InstanceName{},
+		t: t, rnd: rand.New(rand.NewPCG(seed, uint64(voters))), cut: map[[2]keel.InstanceName]bool{}, delay: map[[2]keel.InstanceName]int{},
+		net: map[int][]*keelquorum.Message{}, propose: 0.2, read: 0.1, snapEvery: 1 << 30,
+		entries: map[uint64]uint64{}, chains: map[uint64]uint64{}, terms: map[uint64]uint64{}, leaders: map[uint64]keel.InstanceName{},
 	}
 	for i := range voters {
 		s.names = append(s.names, keel.InstanceName(fmt.Sprintf("v%d", i)))
 	}
+	for _, from := range s.names {
+		for _, to := range s.names {
+			s.delay[[2]keel.InstanceName{from, to}] = 1 + s.rnd.IntN(12)
+		}
+	}
 	for _, name := range s.names {
 		v := &simVoter{name: name, disk: keelstore.NewMemoryWith(s.newDisk()), rate: 0.97 + 0.06*s.rnd.Float64()}
 		v.offset = time.Duration(s.rnd.IntN(1000)) * time.Hour
@@ -164,6 +171,9 @@
 	for _, v := range s.voters {
 		st, _ := v.disk.Load()
 		m, ok := l.core.Voter(v.name)
+		if !ok {
+			_ = l.core.AddVoter(s.clock(l), v.name)
+		}
 		if !ok || m.Learner || m.Incarnation != st.Vote.Incarnation {
 			return false
 		}
@@ -200,23 +210,18 @@
 }
 
 func (s *sim) deliver() {
-	var later []packet
-	due := s.net
-	s.net = nil
-	for _, p := range due {
-		v := s.voters[slices.Index(s.names, p.m.To)]
-		switch {
-		case p.at > s.now:
-			later = append(later, p)
-		case v.core != nil && !s.cut[[2]keel.InstanceName{p.m.From, p.m.To}]:
-			v.core.Step(s.clock(v), p.m)
-		}
-	}
-	s.net = append(later, s.net...)
+	for _, m := range s.net[s.now] {
+		v := s.voters[slices.Index(s.names, m.To)]
+		if v.core != nil && !s.cut[[2]keel.InstanceName{m.From, m.To}] {
+			v.core.Step(s.clock(v), *m)
+		}
+	}
+	delete(s.net, s.now)
 }
 
 func (s *sim) send(ms []keelquorum.Message) {
-	for _, m := range ms {
+	for i := range ms {
+		m := &ms[i]
 		if fs := m.Check(); len(fs) > 0 {
 			s.fail("%s sent a message with faults: %v", m.From, fs)
 		}
@@ -225,12 +230,12 @@
 			copies = 2
 		}
 		for range copies {
-			delay := 1 + s.rnd.IntN(2)
+			delay := s.delay[[2]keel.InstanceName{m.From, m.To}] + s.rnd.IntN(2)
 			if s.rnd.Float64() < s.slow {
 				delay = s.rnd.IntN(300)
 			}
 			if s.rnd.Float64() >= s.drop {
-				s.net = append(s.net, packet{s.now + delay, m})
+				s.net[s.now+delay] = append(s.net[s.now+delay], m)
 			}
 		}
 	}
@@ -264,6 +269,7 @@
 }
 
 func (s *sim) store(v *simVoter, a *keelquorum.Actions) bool {
+	s.checkSets(v, a)
 	if a.Vote != nil && v.disk.SaveVote(*a.Vote) != nil {
 		return false
 	}
@@ -316,12 +322,63 @@
 	if known, ok := s.chains[e.Index]; ok && known != v.chain {
 		s.fail("%s applied command %d at entry %d, another voter %d", v.name, id, e.Index, s.entries[e.Index])
 	}
-	s.chains[e.Index], s.entries[e.Index] = v.chain, id
+	s.chains[e.Index], s.entries[e.Index], s.terms[e.Index] = v.chain, id, e.Term
+	s.last = max(s.last, e.Index)
 	if o := v.ops[e.Index]; o != nil && o.term == e.Term {
 		o.value, o.end, o.done = e.Index, s.now, true
 	}
 }
 
+// checkSets checks each voter set that a leader puts into its log: it differs
+// by one voter from the one before, which is committed like an entry of the
+// leader's term, and a new disk is a learner first.
+func (s *sim) checkSets(v *simVoter, a *keelquorum.Actions) {
+	committed, term := s.last, s.terms[s.last]
+	if n := len(a.Apply); n > 0 && a.Apply[n-1].Index > committed {
+		committed, term = a.Apply[n-1].Index, a.Apply[n-1].Term
+	}
+	for _, e := range a.Append {
+		if e.Type != keel.EntryVoters || e.Index == 1 || v.core.Status(s.clock(v)).Role != string(keelquorum.RoleLeader) {
+			continue
+		}
+		at, before := s.setBefore(v, e.Index)
+		if changed := difference(e.Voters, before) + difference(before, e.Voters); changed > 1 {
+			s.fail("%s changes %d voters at once: %v to %v", v.name, changed, before, e.Voters)
+		}
+		for _, m := range e.Voters {
+			if !m.Learner && !slices.ContainsFunc(before, func(o keel.Voter) bool { return o.Name == m.Name && o.Incarnation == m.Incarnation }) {
+				s.fail("%s makes %v a voter that was no learner", v.name, m)
+			}
+		}
+		if term != e.Term || at > committed {
+			s.fail("%s changes the voters at entry %d of term %d, committed are %d of term %d", v.name, e.Index, e.Term, committed, term)
+		}
+	}
+}
+
+// setBefore returns the voter set that is on v's disk before an entry.
+func (s *sim) setBefore(v *simVoter, index uint64) (uint64, []keel.Voter) {
+	st, _ := v.disk.Load()
+	at, set := st.Snapshot.Index, st.Snapshot.Voters
+	for _, e := range st.Entries {
+		if e.Type == keel.EntryVoters && e.Index < index {
+			at, set = e.Index, e.Voters
+		}
+	}
+	return at, set
+}
+
+// difference counts the voters of a that are none of b.
+func difference(a, b []keel.Voter) int {
+	n := 0
+	for _, v := range a {
+		if !v.Learner && !slices.Contains(b, v) {
+			n++
+		}
+	}
+	return n
+}
+
 // client proposes to v and reads from it.
 func (s *sim) client(v *simVoter) {
 	// Instances that don't lead are asked now and then too.
@@ -389,8 +446,11 @@
 	s.run(500)
 	s.propose, s.read = 0, 0
 	same := func() bool {
+		if !s.repaired() {
+			return false
+		}
 		for _, v := range s.voters {
-			if v.index != s.voters[0].index || v.core.Status(s.clock(v)).Last != v.index {
+			if !slices.Equal(v.core.Status(s.clock(v)).Voters, s.voters[0].core.Status(s.clock(s.voters[0])).Voters) || v.index != s.voters[0].index || v.core.Status(s.clock(v)).Last != v.index {
 				return false
 			}
 		}
