keelmember: bound the cost of large domains, test faults

Change: heartbeat and relay periods follow the domain's size beyond 17 members, domains are dealt out to keepers in turn, an instance's room in a digest is two numbers a service, seeds name all domains only when asked to but always those of the asking one, a lone instance asks more often, and a new member brings the next comparison forward.

--- a/keelmember/core.go
+++ b/keelmember/core.go
@@ -8,17 +8,24 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/zeebo/xxh3"
 )
 
 // Periods and limits of membership.
 const (
-	heartbeatPeriod = time.Second
+	// heartbeatPeriod is the time between two heartbeats to one member in a
+	// small domain. In a larger one it is heartbeatPerMember times the number
+	// of members, so that the cost stays the same.
+	heartbeatPeriod    = time.Second
+	heartbeatPerMember = 60 * time.Millisecond
 	// heartbeatJitter is the largest part of a period that is taken off it at
 	// random, so that instances don't send in step.
 	heartbeatJitter = 0.2
-	suspectAfter    = 3500 * time.Millisecond
-	deadAfter       = 8 * time.Second
-	forgetAfter     = 10 * time.Minute
+	// suspectPeriods and deadPeriods are the heartbeat periods of silence
+	// after which a member is suspect or dead.
+	suspectPeriods = 3.5
+	deadPeriods    = 8
+	forgetAfter    = 10 * time.Minute
 	// unconfirmedLife is how long an instance that is known by hearsay alone
 	// is tried.
 	unconfirmedLife = 30 * time.Second
@@ -30,17 +37,26 @@
 	representatives = 2
 	// digestStep is the least time between two digests of a representative, so
 	// that its cost does not rise with the number of domains.
-	digestStep = 250 * time.Millisecond
+	digestStep = 300 * time.Millisecond
 	// minDigestPeriod is the least time between two digests to one domain.
 	minDigestPeriod = time.Second
+	// relayPerMember times the number of members is the least time between two
+	// digests of one domain that are passed on inside the own one.
+	relayPerMember = 150 * time.Millisecond
 	// pushGap is the least time between two heartbeats or rounds of digests
 	// that a change of the version causes.
 	pushGap = 100 * time.Millisecond
 	// pushersPerDomain is how many voters tell each domain of a new version.
 	pushersPerDomain = 2
 	joinPeriod       = time.Second
-	seedPeriod       = 10 * time.Second
+	seedPeriod       = 30 * time.Second
+	// lonelySeedPeriod is the time between two hellos to seeds of an instance
+	// that knows no other live one in its domain.
+	lonelySeedPeriod = 5 * time.Second
 	syncPeriod       = 30 * time.Second
+	// newsSyncPeriod is the longest time until members are compared after one
+	// was added.
+	newsSyncPeriod = 3 * time.Second
 	// maxStep is the longest time between two calls that counts as listening.
 	// More means that the process was paused, and others are not blamed.
 	maxStep = 2 * time.Second
@@ -278,14 +294,4 @@
 const rankSeed = 0x9e3779b97f4a7c15
 
 // rank orders names for one key, in a way that differs from key to key.
-func rank(key, name string) uint64 { return mix(mix(rankSeed, key), name) }
-
-// mix is the 64-bit FNV-1a hash with a final mixing, continued from h.
-func mix(h uint64, s string) uint64 {
-	const prime = 0x100000001b3
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * prime
-	}
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
+func rank(key, name string) uint64 { return xxh3.HashStringSeed(key+"/"+name, rankSeed) }
--- a/keelmember/digest.go
+++ b/keelmember/digest.go
@@ -18,8 +18,11 @@
 	live := c.liveMembers()
 	g.Live = len(live)
 	g.setVersions(live)
-	g.Instances = chooseInstances(live)
 	g.Room = sumRooms(live)
+	g.Instances = chooseInstances(live)
+	for i := range g.Instances {
+		g.setRoom(&g.Instances[i])
+	}
 	return g
 }
 
@@ -53,6 +56,18 @@
 	g.Lags = lags[:min(len(lags), maxLagging)]
 }
 
+// setRoom brings the room of a chosen instance into the order of the digest's.
+func (g *Digest) setRoom(in *DigestInstance) {
+	for _, sum := range g.Room {
+		r := ServiceRoom{}
+		if i := slices.IndexFunc(in.room, func(r ServiceRoom) bool { return r.Service == sum.Service }); i >= 0 {
+			r = in.room[i]
+		}
+		in.Free, in.Slots = append(in.Free, r.Free), append(in.Slots, r.Slots)
+	}
+	in.room = nil
+}
+
 // chooseInstances returns the instances that a digest names.
 func chooseInstances(live []Member) []DigestInstance {
 	chosen := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.State != StateAlive })
@@ -68,7 +83,7 @@
 	for _, m := range chosen[:min(len(chosen), maxDigestInstances)] {
 		out = append(out, DigestInstance{
 			Name: m.Instance.Name, Caller: m.Instance.Caller, Peer: m.Instance.Peer,
-			Voter: m.Instance.Voter, Room: m.Room,
+			Voter: m.Instance.Voter, room: m.Room,
 		})
 	}
 	return out
--- a/keelmember/domain.go
+++ b/keelmember/domain.go
@@ -105,7 +105,7 @@
 // relay has a digest passed on inside the own domain. One member is in charge
 // of each other domain, so that the work is spread evenly.
 func (c *Core) relay(g *Digest, direct bool) {
-	if last, ok := c.relayed[g.Domain]; ok && c.now.Sub(last) < c.digestPeriod()/2 {
+	if last, ok := c.relayed[g.Domain]; ok && c.now.Sub(last) < c.relayPeriod() {
 		return
 	}
 	if len(c.relayed) > maxDomains {
@@ -123,16 +123,22 @@
 	}
 }
 
-// keeperOf returns the live member that passes on the digests of a domain.
+// keeperOf returns the live member that passes on the digests of a domain. The
+// domains are dealt out in turn, so that no member has two more than another;
+// representatives, whose names are the lowest, come last.
 func (c *Core) keeperOf(d keel.DomainName) keel.InstanceName {
-	best := c.self.Name
-	var bestRank uint64
-	for _, name := range c.liveNames() {
-		if r := rank(string(d), string(name)); r >= bestRank {
-			best, bestRank = name, r
-		}
+	names := c.liveNames()
+	if len(names) == 0 {
+		return c.self.Name
 	}
-	return best
+	place, _ := slices.BinarySearch(c.domainNames(), d)
+	return names[len(names)-1-place%len(names)]
+}
+
+// relayPeriod returns the least time between two digests of one domain that are
+// passed on. It is a little less than the time between two that arrive.
+func (c *Core) relayPeriod() time.Duration {
+	return max(c.digestPeriod()*3/4, time.Duration(len(c.members))*relayPerMember)
 }
 
 // takeRelays returns the digests that the next heartbeats pass on.
--- a/keelmember/heartbeat.go
+++ b/keelmember/heartbeat.go
@@ -1,9 +1,22 @@
 package keelmember
 
 import (
+	"time"
+
 	keel "github.com/greengagekeel/greengagekeel"
 )
 
+// beatPeriod returns the time between two heartbeats to one member.
+func (c *Core) beatPeriod() time.Duration {
+	n := 1
+	for _, m := range c.members {
+		if m.state() != StateDead {
+			n++
+		}
+	}
+	return max(heartbeatPeriod, time.Duration(n)*heartbeatPerMember)
+}
+
 // beat sends a round of heartbeats if one is due.
 func (c *Core) beat() {
 	due := !c.now.Before(c.nextBeat)
@@ -12,7 +25,7 @@
 		return
 	}
 	if due {
-		c.nextBeat = c.now.Add(c.jittered(heartbeatPeriod))
+		c.nextBeat = c.now.Add(c.jittered(c.beatPeriod()))
 	}
 	if push {
 		c.lastPush = c.now
--- a/keelmember/hello.go
+++ b/keelmember/hello.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
 )
@@ -24,7 +25,11 @@
 		}
 		return
 	}
-	c.nextHello = c.now.Add(c.jittered(seedPeriod))
+	period := seedPeriod
+	if len(c.liveNames()) <= 1 {
+		period = lonelySeedPeriod
+	}
+	c.nextHello = c.now.Add(c.jittered(period))
 	if c.isRepresentative() {
 		c.askSeed()
 	}
@@ -52,6 +57,15 @@
 	}
 }
 
+// syncWithin brings the next comparison forward. Where one instance is new,
+// others may be too, and those that start together don't hear of each other at
+// first.
+func (c *Core) syncWithin(d time.Duration) {
+	if at := c.now.Add(c.jittered(d)); at.Before(c.nextSync) {
+		c.nextSync = at
+	}
+}
+
 // syncOne compares notes with one live member of the own domain.
 func (c *Core) syncOne() {
 	names := c.liveNames()
@@ -61,7 +75,7 @@
 }
 
 func (c *Core) ask(to netip.AddrPort) {
-	c.send(to, keel.KindHello, &Hello{Instance: c.self})
+	c.send(to, keel.KindHello, &Hello{Instance: c.self, WantDomains: len(c.domains) == 0 || c.alone()})
 }
 
 // takeHello takes a hello or the answer to one.
@@ -122,7 +136,7 @@
 	if h.Instance.Domain == c.self.Domain {
 		a.Members = c.helloMembers()
 	}
-	a.Domains = c.helloDomains()
+	a.Domains = c.helloDomains(h)
 	c.send(h.Instance.Peer, keel.KindHello, a)
 }
 
@@ -136,14 +150,18 @@
 	return out
 }
 
-func (c *Core) helloDomains() []DomainContacts {
+// helloDomains returns contacts of this domain, of the asking one, and of all
+// others if they are asked for.
+func (c *Core) helloDomains(h *Hello) []DomainContacts {
 	own := DomainContacts{Domain: c.self.Domain}
 	for _, name := range c.representatives() {
 		own.Contacts = append(own.Contacts, Contact{Name: name, Peer: c.peerOf(name)})
 	}
 	out := []DomainContacts{own}
 	for _, name := range c.domainNames() {
-		if d := c.domains[name]; len(d.contacts) > 0 && len(out) < maxHelloDomains {
+		d := c.domains[name]
+		wanted := h.WantDomains || name == h.Instance.Domain
+		if wanted && len(d.contacts) > 0 && len(out) < maxHelloDomains {
 			out = append(out, DomainContacts{Domain: name, Contacts: d.contacts})
 		}
 	}
--- a/keelmember/member.go
+++ b/keelmember/member.go
@@ -66,6 +66,7 @@
 	m := &member{inst: in, machine: keelchart.NewMachine(memberChart), heard: c.now, listened: c.listen}
 	c.members[in.Name] = m
 	c.changed = true
+	c.syncWithin(newsSyncPeriod)
 	return m
 }
 
@@ -83,6 +84,8 @@
 
 // expire moves silent members on and forgets those that are long dead.
 func (c *Core) expire() {
+	period := c.beatPeriod()
+	suspectAfter := time.Duration(suspectPeriods * float64(period))
 	for _, name := range c.memberNames() {
 		m := c.members[name]
 		silent := c.listen - m.listened
@@ -92,7 +95,7 @@
 			delete(c.members, name)
 			c.changed = true
 		case m.state() == StateUnconfirmed:
-		case silent > deadAfter:
+		case silent > deadPeriods*period:
 			c.silent(m, eventExpired)
 		case silent > suspectAfter:
 			c.silent(m, eventMissed)
--- a/keelmember/message.go
+++ b/keelmember/message.go
@@ -72,7 +72,12 @@
 	Caller netip.AddrPort    `json:"caller" cbor:"2,keyasint"`
 	Peer   netip.AddrPort    `json:"peer" cbor:"3,keyasint"`
 	Voter  bool              `json:"voter,omitempty" cbor:"4,keyasint,omitempty"`
-	Room   []ServiceRoom     `json:"room,omitempty" cbor:"5,keyasint,omitempty"`
+	// Free and Slots are the instance's part of the digest's room, in the order
+	// of its services.
+	Free  []int `json:"free,omitempty" cbor:"5,keyasint,omitempty"`
+	Slots []int `json:"slots,omitempty" cbor:"6,keyasint,omitempty"`
+
+	room []ServiceRoom // while the digest is made
 }
 
 // Digest is what a representative tells other domains about its own.
@@ -116,6 +121,9 @@
 type Hello struct {
 	Instance keel.Instance `cbor:"1,keyasint"`
 	Answer   bool          `cbor:"2,keyasint,omitempty"`
+	// WantDomains asks for contacts in all failure domains. Without it those of
+	// the answering and of the asking one are given.
+	WantDomains bool `cbor:"6,keyasint,omitempty"`
 	// Newer is an incarnation of the receiver's name that is above the
 	// receiver's own.
 	Newer uint64 `cbor:"3,keyasint,omitempty"`
@@ -193,7 +201,9 @@
 	for i := range g.Instances {
 		in := &g.Instances[i]
 		fs.Under("instances", (&Contact{Name: in.Name, Peer: in.Peer}).Check())
-		fs.Under("instances", checkRooms(in.Room))
+		if len(in.Free) > len(g.Room) || len(in.Slots) != len(in.Free) {
+			fs.Add("instances", "have %d and %d values of room for %d services", len(in.Free), len(in.Slots), len(g.Room))
+		}
 	}
 	return fs
 }
--- a/keelmember/sim_test.go
+++ b/keelmember/sim_test.go
@@ -25,22 +25,26 @@
 // sim runs cores against each other on simulated time.
 type sim struct {
 	nodes   []*node
+	byPeer  map[netip.AddrPort][]*node
 	now     time.Time
 	rand    *rand.Rand
 	queue   []message
 	drop    func(from, to *node) bool
 	doubled bool
-	late    time.Duration // longest extra delay of a message
+	// fetching has nodes fetch what they are told of at once.
+	fetching bool
+	late     time.Duration // longest extra delay of a message
 }
 
 type node struct {
-	core    *keelmember.Core
-	inst    keel.Instance
-	local   keelmember.Local
-	down    bool
-	notices []keelmember.VersionNotice
-	sent    int
-	bytes   int
+	core              *keelmember.Core
+	inst              keel.Instance
+	local             keelmember.Local
+	down              bool
+	notices           []keelmember.VersionNotice
+	sent              int
+	bytes             int
+	received, bytesIn int
 }
 
 type message struct {
@@ -68,7 +72,7 @@
 // newSim makes domains of size instances each, which all join by the first
 // instance of the first two domains.
 func newSim(seed uint64, domains, size int) *sim {
-	s := &sim{now: start, rand: rand.New(rand.NewPCG(seed, 0))}
+	s := &sim{now: start, byPeer: map[netip.AddrPort][]*node{}, rand: rand.New(rand.NewPCG(seed, 0))}
 	for d := range domains {
 		for i := range size {
 			s.add(instance(d, i, 1))
@@ -85,9 +89,53 @@
 		Seed: s.rand.Uint64(),
 	}, s.now)
 	s.nodes = append(s.nodes, n)
+	s.byPeer[in.Peer] = append(s.byPeer[in.Peer], n)
 	return n
 }
 
+// node returns the running node of a name.
+func (s *sim) node(name keel.InstanceName) *node {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.inst.Name == name && !n.down })
+	return s.nodes[i]
+}
+
+// state returns what n thinks of another member of its domain.
+func (n *node) state(name keel.InstanceName) keelmember.MemberState {
+	m, ok := n.core.View().Member(name)
+	if !ok {
+		return "unknown"
+	}
+	return m.State
+}
+
+// fetch has a node fetch, in no time, what it was told of.
+func (n *node) fetch() {
+	for _, v := range n.notices {
+		n.local.Version = max(n.local.Version, v.Version)
+	}
+	n.notices = nil
+}
+
+// commit puts a version in force at the voters and returns the time until it
+// is in force everywhere, or limit if that takes longer.
+func (s *sim) commit(v keel.Version, limit time.Duration) time.Duration {
+	for _, n := range s.nodes {
+		if n.inst.Voter {
+			n.local.Version = v
+			s.act(n, n.core.Tick(s.now, n.local))
+		}
+	}
+	began := s.now
+	for s.now.Sub(began) < limit {
+		s.run(step)
+		lag := func(n *node) bool { return !n.down && n.local.Version < v }
+		if !slices.ContainsFunc(s.nodes, lag) {
+			return s.now.Sub(began)
+		}
+	}
+	return limit
+}
+
 func (s *sim) run(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
 		s.deliver()
@@ -118,6 +166,13 @@
 
 func (s *sim) act(n *node, out keelmember.Actions) {
 	n.notices = append(n.notices, out.Versions...)
+	if s.fetching {
+		before := n.local.Version
+		n.fetch()
+		if n.local.Version > before {
+			defer func() { s.act(n, n.core.Tick(s.now, n.local)) }()
+		}
+	}
 	for _, m := range out.Sends {
 		body, err := keel.EncodeCBOR(m.Body)
 		if err != nil {
@@ -125,8 +180,8 @@
 		}
 		n.sent++
 		n.bytes += len(body)
-		for _, to := range s.nodes {
-			if to.inst.Peer == m.To && !to.down {
+		for _, to := range s.byPeer[m.To] {
+			if !to.down {
 				s.post(n, to, body, m.Body)
 			}
 		}
@@ -142,6 +197,8 @@
 	if s.doubled {
 		copies = 2
 	}
+	to.received += copies
+	to.bytesIn += copies * len(body)
 	for range copies {
 		var got keel.Checker
 		switch sent.(type) {
--- /dev/null
+++ b/keelmember/version_test.go
@@ -0,0 +1,88 @@
+package keelmember_test
+
+import (
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelmember"
+	"github.com/matryer/is"
+)
+
+// inForceGoal is the time within which a change is in force everywhere.
+const inForceGoal = 8 * second
+
+func TestVersionReachesAll(t *testing.T) {
+	tests := []struct {
+		name          string
+		domains, size int
+		loss          float64
+		late          time.Duration
+		goal          time.Duration
+	}{
+		{"today", 6, 3, 0, 0, second},
+		{"a tenth lost", 6, 3, 0.1, 0, inForceGoal},
+		{"a third lost", 6, 3, 0.33, 0, inForceGoal},
+		{"half a second late", 6, 3, 0, 500 * time.Millisecond, inForceGoal},
+		{"many domains, a tenth lost", 20, 3, 0.1, 0, inForceGoal},
+		{"larger domains, a tenth lost", 4, 12, 0.1, 0, inForceGoal},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(11, tt.domains, tt.size)
+			s.fetching = true
+			s.run(20 * second)
+			s.drop = func(_, _ *node) bool { return s.rand.Float64() < tt.loss }
+			s.late = tt.late
+			for v := keel.Version(1); v <= 10; v++ {
+				is.True(s.commit(v, 2*tt.goal) < tt.goal)
+				s.run(second)
+			}
+		})
+	}
+}
+
+// TestCutOffDomain misses changes and gets them after the cut heals; versions
+// that are told never fall.
+func TestCutOffDomain(t *testing.T) {
+	is := is.New(t)
+	s := newSim(12, 5, 3)
+	s.fetching = true
+	s.run(20 * second)
+	cut := func(n *node) bool { return n.inst.Domain == "domain-04" }
+	s.drop = func(a, b *node) bool { return cut(a) != cut(b) }
+	for v := keel.Version(1); v <= 5; v++ {
+		is.Equal(s.commit(v, second), second) // not everywhere
+		s.run(20 * second)
+	}
+	inside := s.nodes[len(s.nodes)-1]
+	is.Equal(inside.local.Version, keel.Version(0))
+	c := s.nodes[0].core.View().Confirm(5, []keel.DomainName{"domain-00", "domain-03", "domain-04"})
+	is.True(!c.InForce)
+	is.Equal(c.Unheard, []keel.DomainName{"domain-04"})
+	s.drop = nil
+	is.True(s.commit(6, inForceGoal) < inForceGoal)
+	s.run(20 * second)
+	c = s.nodes[0].core.View().Confirm(6, nil)
+	is.Equal(c, keelmember.Confirmation{Version: 6, InForce: true})
+}
+
+// TestConfirmNamesLaggards has instances that don't take a version in force.
+func TestConfirmNamesLaggards(t *testing.T) {
+	is := is.New(t)
+	s := newSim(13, 3, 3)
+	s.run(20 * second)
+	for _, n := range s.nodes {
+		n.local.Version = 7
+	}
+	s.nodes[1].local.Version, s.nodes[5].local.Version = 6, 3
+	s.run(20 * second)
+	for _, n := range s.nodes {
+		c := n.core.View().Confirm(7, nil)
+		is.True(!c.InForce)
+		is.Equal(c.Lagging, 2)
+		is.Equal(c.Lags, []keelmember.Lag{{Name: "d01-02", Version: 3}, {Name: "d00-01", Version: 6}})
+		is.True(n.core.View().Confirm(3, nil).InForce)
+	}
+}
--- a/keelmember/view.go
+++ b/keelmember/view.go
@@ -1,6 +1,7 @@
 package keelmember
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -129,13 +130,26 @@
 			},
 			State:   StateAlive,
 			Version: d.Digest.Lowest,
-			Room:    in.Room,
+			Room:    d.Digest.roomOf(&in),
 			Heard:   d.Made,
 		})
 	}
 	return out
 }
 
+// roomOf returns the room of an instance of the digest. Its delays are those of
+// the whole domain.
+func (g *Digest) roomOf(in *DigestInstance) []ServiceRoom {
+	var out []ServiceRoom
+	for i := range in.Free {
+		if r := g.Room[i]; in.Slots[i] > 0 {
+			r.Free, r.Slots = in.Free[i], in.Slots[i]
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Domains returns what is known of the other failure domains.
 func (v *View) Domains() []DomainView { return v.Others }
 
@@ -151,14 +165,15 @@
 
 // maxConfirmAge is the age above which a digest says nothing about the version
 // in force.
-const maxConfirmAge = 30 * time.Second
+const maxConfirmAge = time.Minute
 
 // Confirmation says at which instances a version is in force.
 type Confirmation struct {
 	Version keel.Version `json:"version"`
 	// InForce says that every live instance of every asked domain has it.
 	InForce bool `json:"in_force"`
-	// Lagging counts the instances that have less, and Lags names some.
+	// Lagging counts the instances that have less, and Lags names some, the
+	// furthest behind first.
 	Lagging int   `json:"lagging"`
 	Lags    []Lag `json:"lags,omitempty"`
 	// Unheard names the domains of which too little is known.
@@ -179,6 +194,9 @@
 			c.addOther(v, d)
 		}
 	}
+	slices.SortFunc(c.Lags, func(a, b Lag) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
 	c.InForce = c.Lagging == 0 && len(c.Unheard) == 0
 	return c
 }
