keelguard: poison requests and silent connections

Cause: the guard allowed everything, so one request could crash every endpoint, and a connection that went silent held its request until the deadline. Change: evidence against fingerprints that instances share before the caller is answered, one more risk by permission of the fingerprint's home, refusal after two crashes, lift by label; progress per connection, a probe with a fresh one, retirement of all as old that stand still. keelsteer tells a given up request from a whole answer and shares evidence after a crash. keelclaim loses Set.Since: a time noted by each instance for itself is no proof that a restarted holder lost nothing, and a holder without a disk which learnt its set later than the clock slack would have counted as whole.

--- a/keelclaim/refill.go
+++ b/keelclaim/refill.go
@@ -150,7 +150,7 @@
 
 // phaseIn returns the phase with regard to the votes of one set.
 func (h *Holder) phaseIn(s *holderSet) Phase {
-	if s.whole || s.SeenNew || !s.Since.IsZero() && s.Since.Sub(h.cfg.Started) > h.cfg.ClockSlack {
+	if s.whole || s.SeenNew {
 		s.whole = true
 		return PhaseWhole
 	}
--- a/keelclaim/set.go
+++ b/keelclaim/set.go
@@ -12,12 +12,9 @@
 // Set is the holders of a failure domain that were registered together.
 type Set struct {
 	Holders []keel.InstanceName `json:"holders"`
-	// Since is when the set came into force, or zero if that is not known. A
-	// holder that was running before then has lost no votes of this set.
-	Since time.Time `json:"since,omitzero"`
 	// SeenNew says that this instance ran when the set came into force, and knew
-	// the declarations before it as the current ones. It then needs no clock to
-	// tell that it has lost no votes of this set.
+	// the declarations before it as the current ones. It has then lost no
+	// votes of this set.
 	SeenNew bool `json:"seen_new,omitempty"`
 	// Until is when the set was replaced, or zero for the current set. A
 	// former set is of no use once the retention has passed.
--- /dev/null
+++ b/keelguard/dump.go
@@ -0,0 +1,32 @@
+package keelguard
+
+// Dump is the state of a [Service] for operators.
+type Dump struct {
+	// Fingerprints counts the requests with evidence.
+	Fingerprints int `json:"fingerprints"`
+	// Refused lists the fingerprints that are refused now. An operator lifts
+	// one by the label [keel.LabelPoisonLift].
+	Refused []ID `json:"refused"`
+	// Suspects lists the fingerprints with one crash.
+	Suspects []ID `json:"suspects"`
+	// Refusals counts the refused requests.
+	Refusals uint64     `json:"refusals"`
+	Evidence []Evidence `json:"evidence"`
+}
+
+// Dump returns the state of the service, a [Dump].
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	d := Dump{Fingerprints: len(s.poison.entries), Refusals: s.refused, Evidence: s.poison.Evidence(now)}
+	for fp, e := range s.poison.entries {
+		switch crashes := len(s.poison.live(now, e)); {
+		case crashes >= refusedAt:
+			d.Refused = append(d.Refused, fp)
+		case crashes > 0:
+			d.Suspects = append(d.Suspects, fp)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/keelguard/fingerprint.go
@@ -0,0 +1,54 @@
+package keelguard
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"github.com/zeebo/xxh3"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// ID identifies a request by its content, so that a resend has the same one.
+type ID uint64
+
+// Fingerprint returns the identity of a request. The key is empty for a request
+// without one.
+func Fingerprint(service keel.ServiceName, method, path, key string, bodyHash uint64) ID {
+	h := xxh3.New()
+	for _, part := range []string{string(service), method, path, key} {
+		writePart(h, part)
+	}
+	var hash [8]byte
+	binary.LittleEndian.PutUint64(hash[:], bodyHash)
+	h.Write(hash[:])
+	return ID(h.Sum64())
+}
+
+// writePart writes the length before the part, so that two lists of parts
+// never give the same bytes.
+func writePart(h *xxh3.Hasher, part string) {
+	var length [4]byte
+	binary.LittleEndian.PutUint32(length[:], uint32(len(part)))
+	h.Write(length[:])
+	h.WriteString(part)
+}
+
+// idBase is the base in which fingerprints are written.
+const idBase = 16
+
+// String returns the fingerprint as it stands in refusals and labels.
+func (id ID) String() string { return strconv.FormatUint(uint64(id), idBase) }
+
+// MarshalText implements [encoding.TextMarshaler].
+func (id ID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// ParseID returns the fingerprint that s stands for.
+func ParseID(s string) (ID, error) {
+	n, err := strconv.ParseUint(s, idBase, 64)
+	if err != nil || ID(n).String() != s {
+		return 0, errors.Errorf("%q is not a fingerprint", s)
+	}
+	return ID(n), nil
+}
--- a/keelinstance/holders.go
+++ b/keelinstance/holders.go
@@ -48,7 +48,7 @@
 			old.Until = now
 			h.former[domain] = append(h.former[domain], old)
 		}
-		h.current[domain] = keelclaim.Set{Holders: names, Since: now, SeenNew: seen}
+		h.current[domain] = keelclaim.Set{Holders: names, SeenNew: seen}
 	}
 }
 
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -32,22 +32,24 @@
 	switch {
 	case x.ctx.Err() != nil:
 		outcome = keeladmit.OutcomeCancelled
-		x.e.cfg.Guard.Ended(x.fp, x.target.ID)
+		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	case refusal.Verdict == keel.MayHaveRun:
 		x.e.cfg.Guard.Died(x.fp, x.target.ID)
 		x.probe()
 	default:
-		x.e.cfg.Guard.Ended(x.fp, x.target.ID)
+		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	}
 	x.end(outcome)
 }
 
-// probe tells the guard whether the endpoint takes a new connection.
+// probe tells the guard whether the endpoint takes a new connection, and shares
+// the evidence before the caller is answered.
 func (x *dispatched) probe() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), probeTimeout)
 	defer cancel()
 	err := x.e.client.Probe(ctx, x.target)
 	x.e.cfg.Guard.Confirmed(x.target.ID, err == nil)
+	x.e.cfg.Guard.Share(ctx)
 }
 
 func (x *dispatched) end(o keeladmit.Outcome) {
@@ -91,7 +93,7 @@
 	case b.err != nil && b.x.ctx.Err() == nil:
 		b.x.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
 	case b.err != nil:
-		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
+		b.x.e.cfg.Guard.Abandoned(b.x.fp, b.x.target.ID)
 		b.x.end(keeladmit.OutcomeCancelled)
 	default:
 		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
