keelroute, keeladmit: settling, owners of whole pools, safe parts of grants

Cause: members of a domain that had lost different grants could hold more credits together than the grantor counted (found by TestCreditsStayWithinSpare, 8 of 7 spare slots); ownership by endpoint cut pools of six slots into queues of three. Change: the grantor counts each member's largest unexpired part, and remainders move slowly. All endpoints of a service in a domain have one owner (Shards sets how many). Settling holds the growth of a domain whose latency is above its usual.

--- a/keeladmit/credit.go
+++ b/keeladmit/credit.go
@@ -30,8 +30,8 @@
 	// Members lists the registered instances of the domain as the grantor knows
 	// them, in order. The slots are split among just these.
 	Members []keel.InstanceName `json:"members" cbor:"6,keyasint"`
-	// Number rises with each grant of the grantor. It decides which member gets
-	// a remainder.
+	// Number rises with each grant of the grantor. It decides, slowly, which
+	// members get a remainder.
 	Number uint64 `json:"number" cbor:"7,keyasint"`
 }
 
@@ -111,7 +111,7 @@
 }
 
 type issuedGrant struct {
-	slots   int
+	Grant
 	expires time.Time
 }
 
@@ -169,23 +169,29 @@
 	var list []Grant
 	for i, part := range b.split() {
 		s := b.senders[i]
-		slots := min(part, s.held()+free)
-		free -= max(0, slots-s.held())
-		if s.want == 0 && slots == 0 || len(s.members) == 0 {
+		if s.want == 0 && part == 0 || len(s.members) == 0 {
 			continue
 		}
-		list = append(list, g.issue(now, service, s, slots))
+		before := s.held()
+		grant := g.issue(now, service, s, part)
+		for s.held()-before > free {
+			grant.Slots--
+			s.issued[len(s.issued)-1].Slots--
+		}
+		free -= s.held() - before
+		list = append(list, grant)
 	}
 	return list
 }
 
 func (g *Grantor) issue(now time.Time, service keel.ServiceName, s *sender, slots int) Grant {
 	g.number++
-	s.issued = append(s.issued, issuedGrant{slots: slots, expires: now.Add(g.cfg.TTL + g.cfg.Margin)})
-	return Grant{
+	grant := Grant{
 		Grantor: g.cfg.Self, Domain: s.domain, Service: service, Slots: slots,
 		TTL: keel.Duration(g.cfg.TTL), Members: s.members, Number: g.number,
 	}
+	s.issued = append(s.issued, issuedGrant{Grant: grant, expires: now.Add(g.cfg.TTL + g.cfg.Margin)})
+	return grant
 }
 
 // Granted returns the slots of a service that unexpired grants hold.
@@ -238,12 +244,25 @@
 	}
 }
 
-// held returns the most slots that the sender may believe to have. A later
-// grant replaces an earlier one, but may have been lost.
+// held returns the most slots that the sender's members may believe to have
+// together. A later grant replaces an earlier one, but may have been lost on
+// the way to some of them.
 func (s *sender) held() int {
+	n := 0
+	for i := range s.issued {
+		for _, m := range s.issued[i].Members {
+			n += s.raise(i, m)
+		}
+	}
+	return n
+}
+
+// raise returns by how much the member's part of grant i exceeds all of its
+// earlier ones.
+func (s *sender) raise(i int, member keel.InstanceName) int {
 	most := 0
-	for _, g := range s.issued {
-		most = max(most, g.slots)
+	for j := range i {
+		most = max(most, SplitCredit(s.issued[j].Grant, member))
 	}
-	return most
+	return max(0, SplitCredit(s.issued[i].Grant, member)-most)
 }
--- a/keeladmit/endpoint.go
+++ b/keeladmit/endpoint.go
@@ -47,6 +47,7 @@
 	if e == nil {
 		e = &endpoint{view: keel.EndpointView{ID: s.ID}}
 		q.endpoints = append(q.endpoints, e)
+		q.byID[s.ID] = e
 	}
 	relabelled := e.labels == nil || !maps.Equal(e.labels, s.Labels)
 	e.labels = s.Labels.Over(keel.Labels{})
@@ -80,6 +81,7 @@
 	}
 	e.removed = true
 	if e.view.InFlight == 0 {
+		delete(q.byID, id)
 		q.endpoints = slices.DeleteFunc(q.endpoints, func(x *endpoint) bool { return x == e })
 		q.rematch()
 	}
@@ -106,12 +108,7 @@
 }
 
 func (q *Queue) find(id keel.EndpointID) *endpoint {
-	for _, e := range q.endpoints {
-		if e.view.ID == id {
-			return e
-		}
-	}
-	return nil
+	return q.byID[id]
 }
 
 // group is the requests of one selector with the endpoints that they may use.
--- a/keeladmit/link.go
+++ b/keeladmit/link.go
@@ -95,6 +95,10 @@
 		delete(b.shares, selector)
 		return
 	}
+	if s, ok := b.shares[selector]; ok {
+		s.part = percent / 100
+		return
+	}
 	b.shares[selector] = &bucketShare{part: percent / 100}
 }
 
--- a/keeladmit/next.go
+++ b/keeladmit/next.go
@@ -91,6 +91,9 @@
 		return
 	}
 	e.view.InFlight = max(0, e.view.InFlight-1)
+	if e.removed && e.view.InFlight == 0 {
+		q.Remove(id)
+	}
 	if o != OutcomeOK {
 		return
 	}
--- a/keeladmit/owner.go
+++ b/keeladmit/owner.go
@@ -16,12 +16,17 @@
 	// heard. It must be longer than it takes any instance to notice that it no
 	// longer hears the others. Default 3 s.
 	Lease time.Duration
+	// Shards is into how many parts, by hash, the endpoints of a service in the
+	// domain are cut. All endpoints of a part have the same owner and so share
+	// one queue. It must be the same at all instances of the domain. Default 1.
+	Shards int
 }
 
 // Owners says which entry instance of a failure domain owns an endpoint, that
 // is, which one sends work to it.
 //
-// The owner is the live member with the highest rendezvous hash. One that
+// The owner is the live member with the highest rendezvous hash for the
+// endpoint's part of its service. One that
 // becomes owner waits until the lease of the one before has run out, or until
 // that one hands over. While some registered instances are not heard, each
 // endpoint's slots are split: its keeper, a registered instance by hash, is on
@@ -49,6 +54,7 @@
 // NewOwners returns an empty set of ownerships.
 func NewOwners(cfg OwnersConfig) *Owners {
 	setDefault(&cfg.Lease, 3*time.Second)
+	setDefault(&cfg.Shards, 1)
 	return &Owners{cfg: cfg, endpoints: map[keel.EndpointID]*ownership{}}
 }
 
@@ -165,7 +171,7 @@
 		return slots
 	}
 	kept := slots / 2
-	keeperHere := contains(live, highest(o.registered, id))
+	keeperHere := contains(live, highest(o.registered, xxh3.HashString(id.String())))
 	majority := heard > len(o.registered)/2
 	switch {
 	case majority && keeperHere:
@@ -184,13 +190,15 @@
 	return ok
 }
 
-func (o *Owners) choose(id keel.EndpointID) keel.InstanceName { return highest(o.live, id) }
+func (o *Owners) choose(id keel.EndpointID) keel.InstanceName {
+	part := xxh3.HashString(string(id.Name)) % uint64(o.cfg.Shards)
+	return highest(o.live, xxh3.HashStringSeed(string(id.Service), part))
+}
 
-// highest returns the member with the highest rendezvous hash for id.
-func highest(members []keel.InstanceName, id keel.EndpointID) keel.InstanceName {
+// highest returns the member with the highest rendezvous hash for a seed.
+func highest(members []keel.InstanceName, seed uint64) keel.InstanceName {
 	var best keel.InstanceName
 	var most uint64
-	seed := xxh3.HashString(id.String())
 	for _, m := range members {
 		if h := xxh3.HashStringSeed(string(m), seed); best == "" || h > most {
 			best, most = m, h
--- a/keeladmit/queue.go
+++ b/keeladmit/queue.go
@@ -90,6 +90,7 @@
 type Queue struct {
 	cfg       QueueConfig
 	endpoints []*endpoint
+	byID      map[keel.EndpointID]*endpoint
 	groups    map[keel.SelectorName]*group
 	order     []*group
 	waiting   int
@@ -114,6 +115,7 @@
 	setDefault(&cfg.MaxWaiting, 10_000)
 	return &Queue{
 		cfg:     cfg,
+		byID:    map[keel.EndpointID]*endpoint{},
 		groups:  map[keel.SelectorName]*group{},
 		classes: make([]classState, len(keel.Classes())),
 		service: cfg.ServiceTime.Seconds(),
--- a/keeladmit/wallet.go
+++ b/keeladmit/wallet.go
@@ -56,9 +56,14 @@
 	c.expires = now.Add(g.TTL.Std())
 }
 
+// remainderGrants is for how many grants the same members get the remainder.
+// Changing them often would cost slots, since the grantor must count what a
+// member may still have from the grant before.
+const remainderGrants = 64
+
 // SplitCredit returns the part of a grant that falls to one member. The parts
-// of all members add up to the grant. The remainder goes round with the number
-// of the grant.
+// of all members add up to the grant. The remainder goes round slowly with the
+// number of the grant.
 func SplitCredit(g Grant, self keel.InstanceName) int {
 	n := len(g.Members)
 	i, ok := slices.BinarySearch(g.Members, self)
@@ -66,7 +71,7 @@
 		return 0
 	}
 	part, rest := g.Slots/n, g.Slots%n
-	if at := (uint64(i) + g.Number) % uint64(n); at < uint64(rest) {
+	if at := (uint64(i) + g.Number/remainderGrants) % uint64(n); at < uint64(rest) {
 		part++
 	}
 	return part
--- a/keelroute/steering_test.go
+++ b/keelroute/steering_test.go
@@ -30,6 +30,7 @@
 	stale    bool
 	ticks    int
 	history  map[int][]snapshot
+	settling [regions][]*keelroute.Settling
 }
 
 // seen is what the owner of a pool knows of its use, smoothed.
@@ -46,6 +47,7 @@
 	for r := range regions {
 		p.count[r] = make([]float64, n)
 		for range n {
+			p.settling[r] = append(p.settling[r], keelroute.NewSettling(keelroute.SettlingConfig{}))
 			p.rate[r] = append(p.rate[r], keelroute.NewAverage(smoothFor))
 		}
 		for d := range domains {
@@ -174,6 +176,9 @@
 }
 
 func (p *policy) ended(s *sim, r *request) {
+	if r.endpoint.Name != "" {
+		p.settling[r.source][r.svc].Observe(s.clock(), domainName(r.dest), r.work)
+	}
 	if !r.remote {
 		return
 	}
@@ -304,6 +309,7 @@
 		l := keelroute.DomainLoad{
 			Domain: domainName(d), Region: regionName(regionOf(d)), Slots: float64(k.slots),
 			QueueDelay: k.delay, ReportAge: s.now - k.at, Drain: p.lost[o][d],
+			Unsettled: p.settling[region][svc].Unsettled(s.clock(), domainName(d)),
 		}
 		for r, n := range k.smooth {
 			if r != region {
@@ -319,6 +325,15 @@
 	if target := keelroute.Targets(in); target != nil {
 		p.entries[e].SetTarget(s.clock(), source(s, region, svc), target)
 	}
+	before := map[keel.DomainName]float64{}
+	for _, w := range in.Previous {
+		before[w.Domain] = w.Weight
+	}
+	for _, w := range p.entries[e].Vector(source(s, region, svc)) {
+		if w.Weight > before[w.Domain] {
+			p.settling[region][svc].Grew(s.clock(), w.Domain)
+		}
+	}
 }
 
 // grant exchanges wants and grants between domains of different regions.
@@ -355,135 +370,3 @@
 		}
 	}
 }
-
-// snapshot is the assignment of one entry's buckets at a time.
-type snapshot struct {
-	at      time.Duration
-	vectors map[keelroute.Source][]byte
-}
-
-// checkCap compares every entry's vectors with those of up to one window ago.
-func (p *policy) checkCap(s *sim) {
-	for e, sh := range p.entries {
-		now := snapshot{s.now, map[keelroute.Source][]byte{}}
-		for _, v := range sh.Digest().Vectors {
-			now.vectors[v.Source] = named(v)
-		}
-		h := append(p.history[e], now)
-		for s.now-h[0].at > p.cap.Window.Std() {
-			h = h[1:]
-		}
-		p.history[e] = h
-		for src, v := range now.vectors {
-			moved := differing(h[0].vectors[src], v)
-			if limit := p.cap.Percent / 100 * keelroute.Buckets; float64(moved) > limit+1e-6 {
-				s.broken("%s: entry %d moved %d of %v buckets of %v within a window", s.now, e, moved, limit, src)
-			}
-		}
-	}
-}
-
-// named returns the domain of every bucket as the digit in its name.
-func named(v keelroute.VectorDigest) []byte {
-	out := make([]byte, len(v.Assigned))
-	for i, at := range v.Assigned {
-		out[i] = v.Domains[at][1]
-	}
-	return out
-}
-
-func differing(a, b []byte) int {
-	n := 0
-	for i := range a {
-		if a[i] != b[i] {
-			n++
-		}
-	}
-	return n
-}
-
-// baseline steers by one rule over all domains that answer.
-type baseline struct {
-	pick   keel.Picker
-	choose func(s *sim, r *request) int
-}
-
-func (b baseline) route(s *sim, r *request) int { return b.choose(s, r) }
-func (b baseline) ended(*sim, *request)         {}
-func (b baseline) tick(*sim)                    {}
-func (b baseline) picker() keel.Picker          { return b.pick }
-func (b baseline) ownership() ownership         { return ownPools }
-func (b baseline) budgets() bool                { return false }
-
-// alive reports whether the domain's last report is fresh and can arrive.
-func alive(s *sim, r *request, d int) bool {
-	k := &s.pools[d][r.svc].report
-	return s.now-k.at <= silentAfter && k.slots > 0 && !s.cut[regionOf(d)][regionOf(r.entry/entriesPerDomain)]
-}
-
-// cheapest returns the live domain with the least cost.
-func cheapest(s *sim, r *request, cost func(d int) float64) int {
-	best, least := -1, math.Inf(1)
-	for d := range domains {
-		if c := cost(d); alive(s, r, d) && c < least {
-			best, least = d, c
-		}
-	}
-	return best
-}
-
-func nearestFirst() steering {
-	return baseline{pick: keelroute.First{}, choose: func(s *sim, r *request) int {
-		home := r.entry / entriesPerDomain
-		return cheapest(s, r, func(d int) float64 {
-			if d == home {
-				return 0
-			}
-			return float64(1 + (regionOf(d)-regionOf(home)+regions)%regions)
-		})
-	}}
-}
-
-func staticWeights() steering {
-	return baseline{pick: keelroute.StaticWeights{}, choose: func(s *sim, r *request) int {
-		return cheapest(s, r, func(d int) float64 {
-			return s.rnd.ExpFloat64() / float64(s.pools[d][r.svc].slots)
-		})
-	}}
-}
-
-// leastReported chooses by what endpoints said up to two seconds ago.
-func leastReported() steering {
-	var told [domains][8]float64
-	next := time.Duration(0)
-	return baseline{pick: keelroute.LeastReported{}, choose: func(s *sim, r *request) int {
-		if s.now >= next {
-			next = s.now + 2*time.Second
-			for d := range domains {
-				for svc, p := range s.pools[d] {
-					told[d][svc] = float64(p.report.told) / float64(p.slots)
-				}
-			}
-		}
-		return cheapest(s, r, func(d int) float64 { return told[d][r.svc] + 1e-6*s.rnd.Float64() })
-	}}
-}
-
-// allKnowing chooses by the true state of all domains at this moment.
-func allKnowing() steering {
-	return baseline{pick: keelroute.PowerOfTwo{}, choose: func(s *sim, r *request) int {
-		return cheapest(s, r, func(d int) float64 {
-			if s.lost[d] {
-				return math.Inf(1)
-			}
-			p := s.pools[d][r.svc]
-			n, slots := 0.0, float64(p.slots)
-			for _, k := range p.bySource {
-				n += float64(k)
-			}
-			r.dest = d
-			wait := max(0, n-slots+1) / slots * s.dep.services[r.svc].time.Seconds()
-			return s.trip(r).Seconds() + wait + 1e-4*n/slots
-		})
-	}}
-}
