--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -1,6 +1,7 @@
 package keelroute_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -66,3 +67,223 @@
 	is.Equal(r.Reason, keel.ReasonShiftCap)
 	is.Equal(r.RetryAfter.Std(), time.Minute+1)
 }
+
+func TestCapIsNotSpentTwice(t *testing.T) {
+	const window = 10 * time.Second
+	late := epoch.Add(time.Minute)
+	// moved returns shares of which a tenth moved from a to b at epoch.
+	moved := func() *keelroute.Shares {
+		s := newShares(10, window)
+		s.SetTarget(epoch, gallery, only("a"))
+		s.SetTarget(epoch, gallery, only("b"))
+		s.Lost(epoch, "a")
+		s.Returned(epoch, "a")
+		return s
+	}
+	setCap := func(s *keelroute.Shares, at time.Time, percent float64, w time.Duration) {
+		s.SetCap(at, gallery.Selector, keel.ShiftCap{Percent: percent, Window: keel.Duration(w)})
+	}
+	restarted := func(first bool, digests ...keelroute.Digest) *keelroute.Shares {
+		s := keelroute.NewShares(keelroute.SharesConfig{Self: "i2", FirstStart: first})
+		setCap(s, epoch, 10, window)
+		for _, d := range digests {
+			s.Merge(epoch, d)
+		}
+		s.SetTarget(epoch.Add(1), gallery, only("b"))
+		return s
+	}
+	older := newShares(10, window)
+	older.SetTarget(epoch.Add(-time.Hour), gallery, only("c"))
+	tests := []struct {
+		name   string
+		shares func() *keelroute.Shares
+		at     time.Time
+		want   float64 // share of b at that time, after losing a
+	}{
+		{"same window", moved, epoch.Add(window), 0.1},
+		{"next window", moved, epoch.Add(window + 1), 0.2},
+		{"restart with digest", func() *keelroute.Shares { return restarted(false, moved().Digest()) }, epoch.Add(window), 0.1},
+		{"restart, freshest digest wins", func() *keelroute.Shares {
+			return restarted(false, older.Digest(), moved().Digest(), older.Digest())
+		}, epoch.Add(window), 0.1},
+		{"restart without digest", func() *keelroute.Shares {
+			s := restarted(false)
+			s.SetTarget(epoch.Add(2), gallery, only("a"))
+			return s
+		}, epoch.Add(window), 1},
+		{"cap 0", func() *keelroute.Shares { s := moved(); setCap(s, epoch, 0, window); return s }, late, 0.1},
+		{"cap lowered", func() *keelroute.Shares { s := moved(); setCap(s, epoch, 5, window); return s }, epoch.Add(window), 0.1},
+		{"cap raised", func() *keelroute.Shares { s := moved(); setCap(s, epoch, 30, window); return s }, epoch.Add(window), 0.3},
+		{"cap 0 and back", func() *keelroute.Shares {
+			s := moved()
+			setCap(s, epoch, 0, window)
+			setCap(s, epoch.Add(1), 10, window)
+			return s
+		}, epoch.Add(window), 0.1},
+		{"longer window waits until it is covered", func() *keelroute.Shares {
+			s := moved()
+			setCap(s, epoch.Add(window), 50, time.Hour)
+			return s
+		}, epoch.Add(window), 0.1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := tt.shares()
+			s.Lost(tt.at, "a")
+			is.New(t).Equal(share(s, "b"), tt.want)
+		})
+	}
+}
+
+func TestDivertKeepsWholeRequestsWithinCap(t *testing.T) {
+	for _, tt := range []struct {
+		percent          float64
+		requests, divert int
+	}{{10, 9, 0}, {10, 10, 1}, {10, 39, 3}, {0, 100, 0}, {100, 7, 7}, {1, 250, 2}} {
+		s := newShares(tt.percent, time.Minute)
+		s.SetTarget(epoch, gallery, only("a"))
+		for i := range tt.requests {
+			s.Pick(epoch, gallery, uint64(i))
+		}
+		n := 0
+		for s.Divert(epoch, gallery) {
+			n++
+		}
+		is.New(t).Equal(n, tt.divert)
+	}
+}
+
+func TestTargets(t *testing.T) {
+	near := func(name keel.DomainName) keelroute.DomainLoad {
+		return keelroute.DomainLoad{Domain: name, Region: "dakar", Slots: 12}
+	}
+	far := func(name keel.DomainName) keelroute.DomainLoad {
+		return keelroute.DomainLoad{Domain: name, Region: "thies", Slots: 12, RoundTrip: 12 * time.Millisecond}
+	}
+	with := func(d keelroute.DomainLoad, f func(*keelroute.DomainLoad)) keelroute.DomainLoad { f(&d); return d }
+	in := func(demand float64, d ...keelroute.DomainLoad) keelroute.TargetInput {
+		return keelroute.TargetInput{Region: "dakar", Domains: d, Demand: demand, ServiceTime: 40 * time.Millisecond}
+	}
+	held := in(14, near("a"), far("b"))
+	held.Previous = only("a")
+	stale := held
+	stale.Stale = true
+	declared := in(1, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.Drain = true }), far("c"))
+	declared.Weights = weights(keel.DomainWeight{Domain: "b", Weight: 5}, keel.DomainWeight{Domain: "c", Weight: 3})
+	tests := []struct {
+		name     string
+		in       keelroute.TargetInput
+		domain   keel.DomainName
+		min, max float64
+	}{
+		{"idle stays near", in(4, near("a"), far("b")), "a", 1, 1},
+		{"two near share", in(12, near("a"), near("b")), "a", 0.45, 0.55},
+		{"full spills", in(14, near("a"), far("b")), "b", 0.2, 0.5},
+		{"full link costs", in(10, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.LinkUse = 0.98 })), "a", 0.95, 1},
+		{"drained takes nothing", in(4, with(near("a"), func(d *keelroute.DomainLoad) { d.Drain = true }), far("b")), "b", 1, 1},
+		{"stale does not grow remote", stale, "b", 0, 0},
+		{"fresh does", held, "b", 0.2, 0.5},
+		{"unsettled does not grow", in(14, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.Unsettled = true })), "b", 0.2, 0.5},
+		{"declared weights without drained", declared, "c", 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := 0.0
+			for _, w := range keelroute.Targets(tt.in) {
+				if w.Domain == tt.domain {
+					got = w.Weight
+				}
+			}
+			if got < tt.min || got > tt.max {
+				t.Errorf("share of %s is %.3f, want %.2f to %.2f", tt.domain, got, tt.min, tt.max)
+			}
+		})
+	}
+}
+
+func endpointViews(n int) []keel.EndpointView {
+	views := make([]keel.EndpointView, n)
+	for i := range views {
+		views[i] = keel.EndpointView{ID: keel.EndpointID{Service: "s", Name: keel.EndpointName(rune('a' + i))}, Slots: 4}
+	}
+	return views
+}
+
+func TestPickersKeepToSlots(t *testing.T) {
+	for _, p := range []keel.Picker{keelroute.PowerOfTwo{}, keelroute.LeastReported{}, keelroute.StaticWeights{}, keelroute.First{}} {
+		r := rand.New(rand.NewPCG(1, 1))
+		views := endpointViews(5)
+		views[1].Ramp, views[2].Slots = 0.3, 0 // two usable slots, and none
+		for i := range views {
+			views[i].Reported.InFlight = r.IntN(4)
+		}
+		for range 4 + 2 + 4 + 4 {
+			views[p.Pick(views, r.Uint64)].InFlight++
+		}
+		is := is.New(t)
+		is.Equal(p.Pick(views, r.Uint64), -1)
+		is.Equal(p.Pick(nil, r.Uint64), -1)
+		is.Equal([]int{views[1].InFlight, views[2].InFlight}, []int{2, 0})
+	}
+}
+
+func TestEjectorIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := keelroute.NewEjector(keelroute.EjectorConfig{})
+	views := endpointViews(6)
+	for i := range views {
+		e.Add(views[i].ID)
+	}
+	for range 40 {
+		for i := range views {
+			e.Observe(epoch, views[i].ID, i > 3, time.Millisecond) // four of six fail
+		}
+	}
+	out := 0
+	for i := range views {
+		if e.Ejected(epoch, views[i].ID) {
+			out++
+		}
+	}
+	is.Equal(out, 2) // a third
+	is.Equal(e.Ejected(epoch.Add(time.Hour), views[0].ID), false)
+	ramp := keelroute.NewRamp(keelroute.RampConfig{First: 0.25})
+	ramp.Started(epoch, views[0].ID)
+	is.Equal([]float64{ramp.Part(epoch, views[0].ID), ramp.Part(epoch.Add(10*time.Second), views[0].ID), ramp.Part(epoch, views[1].ID)}, []float64{0.25, 0.625, 1})
+}
+
+func FuzzDigest(f *testing.F) {
+	s := newShares(10, time.Minute)
+	s.SetTarget(epoch, gallery, only("a"))
+	b, _ := keel.EncodeCBOR(s.Digest())
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d keelroute.Digest
+		if keel.DecodeCBOR(data, &d) != nil {
+			return
+		}
+		s := keelroute.NewShares(keelroute.SharesConfig{})
+		s.SetCap(epoch, gallery.Selector, keel.ShiftCap{Percent: 50, Window: keel.Duration(time.Second)})
+		s.Merge(epoch, d)
+		s.SetTarget(epoch, gallery, only("b"))
+		s.Pick(epoch.Add(time.Minute), gallery, 7)
+	})
+}
+
+func BenchmarkSharesPick(b *testing.B) {
+	s := newShares(10, time.Minute)
+	s.SetTarget(epoch, gallery, only("a"))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Pick(epoch.Add(time.Duration(i)*time.Microsecond), gallery, uint64(i))
+	}
+}
+
+func BenchmarkPowerOfTwo(b *testing.B) {
+	views, r := endpointViews(14), rand.New(rand.NewPCG(1, 1))
+	random := r.Uint64
+	b.ReportAllocs()
+	for b.Loop() {
+		keelroute.PowerOfTwo{}.Pick(views, random)
+	}
+}
