--- /dev/null
+++ b/keelquorum/bench_test.go
@@ -0,0 +1,141 @@
+package keelquorum_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelstore"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	benchHeartbeat = 100 * time.Millisecond
+	benchEntry     = 400 // bytes
+	benchProposers = 64
+)
+
+// benchGroup runs voters with files that are really synced.
+func benchGroup(b *testing.B, voters int) *group {
+	names := []keel.InstanceName{"a", "b", "c", "d", "e"}[:voters]
+	g := newGroup(b, benchHeartbeat, names...)
+	g.every = 1 << 30
+	for _, name := range names {
+		s, err := keelstore.Open(keelstore.Config{Dir: b.TempDir()})
+		is.New(b).NoErr(err)
+		g.disks[name] = s
+		g.start(name, names)
+	}
+	g.propose("a", "first")
+	return g
+}
+
+func reportLatency(b *testing.B, h *hdrhistogram.Histogram) {
+	b.ReportMetric(float64(h.ValueAtPercentile(50))/1e6, "p50-ms")
+	b.ReportMetric(float64(h.ValueAtPercentile(99))/1e6, "p99-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkCommit measures one proposal after the other.
+func BenchmarkCommit(b *testing.B) {
+	for _, voters := range []int{1, 3, 5} {
+		b.Run(fmt.Sprintf("%d voters", voters), func(b *testing.B) {
+			g := benchGroup(b, voters)
+			h := hdrhistogram.New(1, int64(time.Minute), 3)
+			data := make([]byte, benchEntry)
+			l := g.lead("a")
+			for b.Loop() {
+				start := time.Now()
+				_, err := l.Propose(g.ctx, data)
+				is.New(b).NoErr(err)
+				is.New(b).NoErr(h.RecordValue(int64(time.Since(start))))
+			}
+			reportLatency(b, h)
+		})
+	}
+}
+
+// BenchmarkThroughput measures proposals that many callers make at once.
+func BenchmarkThroughput(b *testing.B) {
+	for _, voters := range []int{3, 5} {
+		b.Run(fmt.Sprintf("%d voters", voters), func(b *testing.B) {
+			g := benchGroup(b, voters)
+			l := g.lead("a")
+			b.ResetTimer()
+			p := pool.New().WithMaxGoroutines(benchProposers).WithErrors()
+			for range b.N {
+				p.Go(func() error {
+					_, err := l.Propose(g.ctx, make([]byte, benchEntry))
+					return err
+				})
+			}
+			is.New(b).NoErr(p.Wait())
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "changes/s")
+		})
+	}
+}
+
+// BenchmarkFailover measures the time from the loss of the leader to the next
+// accepted proposal.
+func BenchmarkFailover(b *testing.B) {
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	for b.Loop() {
+		g := newGroup(b, benchHeartbeat, "a", "b", "c")
+		for _, name := range g.names {
+			g.start(name, g.names)
+		}
+		g.propose("a", "first")
+		lost := g.lead("a").Status().Self
+		g.stops[lost]()
+		other := g.names[0]
+		if lost == other {
+			other = g.names[1]
+		}
+		start := time.Now()
+		for l := g.lead(other); ; l = g.lead(other) {
+			if l == g.nodes[lost] {
+				continue
+			}
+			if _, err := l.Propose(g.ctx, nil); err == nil {
+				break
+			}
+		}
+		is.New(b).NoErr(h.RecordValue(int64(time.Since(start))))
+	}
+	reportLatency(b, h)
+}
+
+// BenchmarkCatchUp measures a voter that comes back after 500 entries, by tail
+// and by snapshot, until it has applied them.
+func BenchmarkCatchUp(b *testing.B) {
+	const missed = 500
+	for _, every := range []int{1 << 30, 50} {
+		b.Run(fmt.Sprintf("snapshot every %d", every), func(b *testing.B) {
+			h := hdrhistogram.New(1, int64(time.Minute), 3)
+			for b.Loop() {
+				g := newGroup(b, benchHeartbeat, "a", "b", "c")
+				g.every = every
+				for _, name := range g.names {
+					g.start(name, g.names)
+				}
+				g.propose("a", "first")
+				g.stops["c"]()
+				for i := range missed {
+					g.propose("a", fmt.Sprint(i))
+				}
+				start := time.Now()
+				g.start("c", g.names)
+				g.lists["c"].await(missed + 1)
+				is.New(b).NoErr(h.RecordValue(int64(time.Since(start))))
+				for _, stop := range g.stops {
+					stop()
+				}
+			}
+			reportLatency(b, h)
+		})
+	}
+}
