--- a/keelquorum/answer.go
+++ b/keelquorum/answer.go
@@ -70,14 +70,14 @@
 // which the log no longer holds.
 func (c *Core) startTransfer(name keel.InstanceName, p *progress) {
 	p.probing, p.inflight = true, nil
-	p.transfer = transfer{index: c.snapshot.Index}
+	p.transfer = transfer{index: c.snapshot.at.index}
 	c.sendPart(name, p)
 }
 
 // resumeTransfer sends the last part again if it made no way since the last
 // heartbeat.
 func (c *Core) resumeTransfer(name keel.InstanceName, p *progress) {
-	if p.transfer.index != c.snapshot.Index {
+	if p.transfer.index != c.snapshot.at.index {
 		c.startTransfer(name, p)
 		return
 	}
@@ -89,17 +89,17 @@
 
 func (c *Core) sendPart(name keel.InstanceName, p *progress) {
 	s := &c.snapshot
-	from := min(p.transfer.offset, uint64(len(s.Data)))
-	to := min(from+maxBatchBytes, uint64(len(s.Data)))
-	c.sendEarly(name, Message{
-		Type: MessageSnapshot, Index: s.Index, LogTerm: s.Term, Voters: s.Voters,
-		Offset: from, Total: uint64(len(s.Data)), Chunk: s.Data[from:to],
+	from := min(p.transfer.offset, s.size)
+	to := min(from+maxBatchBytes, s.size)
+	c.send(name, Message{
+		Type: MessageSnapshot, Index: s.at.index, LogTerm: s.at.term, Voters: s.voters,
+		Offset: from, Total: s.size, Sum: s.sum, ChunkSize: int(to - from),
 		Round: c.lead.rounds.last,
 	})
 }
 
 func (c *Core) takeTransferAnswer(m *Message, p *progress) {
-	if m.Index != p.transfer.index || m.Index != c.snapshot.Index || m.Offset == p.transfer.offset {
+	if m.Index != p.transfer.index || m.Index != c.snapshot.at.index || m.Offset == p.transfer.offset {
 		return
 	}
 	p.transfer.offset, p.transfer.moved = m.Offset, true
--- a/keelquorum/apply.go
+++ b/keelquorum/apply.go
@@ -18,7 +18,9 @@
 	node    *Node
 	applied atomic.Uint64
 	// since counts the entries applied since the last snapshot.
-	since  int
+	since int
+	// size is the length of the last snapshot, in bytes.
+	size   int
 	failed chan error
 
 	mu    sync.Mutex
@@ -113,10 +115,11 @@
 func (a *applier) snapshot(ctx context.Context) error {
 	index := a.applied.Load()
 	var b bytes.Buffer
+	b.Grow(a.size)
 	if err := a.node.cfg.Machine.Snapshot(&b); err != nil {
 		return errors.Wrapf(err, "make the snapshot of entry %d", index)
 	}
-	a.since = 0
+	a.since, a.size = 0, b.Len()
 	select {
 	case a.node.calls <- func(now time.Time) {
 		if !now.IsZero() {
--- a/keelquorum/bench_test.go
+++ b/keelquorum/bench_test.go
@@ -109,6 +109,43 @@
 	reportLatency(b, h)
 }
 
+// BenchmarkHandOver measures the time from a planned stop of the leader to the
+// next accepted proposal.
+func BenchmarkHandOver(b *testing.B) {
+	g := benchGroup(b, 3)
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	for b.Loop() {
+		l := g.lead("a")
+		start := time.Now()
+		is.New(b).NoErr(l.HandOver(g.ctx))
+		g.propose("a", "next")
+		is.New(b).NoErr(h.RecordValue(int64(time.Since(start))))
+	}
+	reportLatency(b, h)
+}
+
+// BenchmarkIdle measures what voters send while nothing is proposed.
+func BenchmarkIdle(b *testing.B) {
+	for _, voters := range []int{3, 5} {
+		b.Run(fmt.Sprintf("%d voters", voters), func(b *testing.B) {
+			g := benchGroup(b, voters)
+			count := func() (int, int) {
+				g.net.mu.Lock()
+				defer g.net.mu.Unlock()
+				return g.net.messages, g.net.bytes
+			}
+			messages, bytes := count()
+			for b.Loop() {
+				<-time.After(benchHeartbeat)
+			}
+			m, n := count()
+			b.ReportMetric(float64(m-messages)/b.Elapsed().Seconds(), "messages/s")
+			b.ReportMetric(float64(n-bytes)/b.Elapsed().Seconds(), "body-bytes/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 // BenchmarkCatchUp measures a voter that comes back after 500 entries, by tail
 // and by snapshot, until it has applied them.
 func BenchmarkCatchUp(b *testing.B) {
--- a/keelquorum/core.go
+++ b/keelquorum/core.go
@@ -26,7 +26,7 @@
 	log    memoryLog
 	// sets are the voter sets that the log holds, the last one in force.
 	sets     []voterSet
-	snapshot keel.StoredSnapshot
+	snapshot snapshotMeta
 	commit   uint64
 	// handed is the last entry that was handed out to be applied.
 	handed uint64
@@ -79,7 +79,8 @@
 	Restore  bool
 	// Append are entries to be stored.
 	Append []keel.LogEntry
-	// Late are messages that may leave only when all that is stored.
+	// Late are messages that may leave only when all that is stored. Those
+	// with a ChunkSize get their Chunk from the stored snapshot.
 	Late []Message
 	// Apply are committed entries for the state machine.
 	Apply []keel.LogEntry
@@ -112,7 +113,7 @@
 		incarnation: st.Vote.Incarnation,
 		term:        st.Vote.Term,
 		vote:        st.Vote.For,
-		snapshot:    st.Snapshot,
+		snapshot:    metaOf(&st.Snapshot),
 		commit:      st.Snapshot.Index,
 		handed:      st.Snapshot.Index,
 		clock:       clock{now: cfg.Now, maxStep: 2 * cfg.Heartbeat},
@@ -287,7 +288,7 @@
 	return Status{
 		Self: c.cfg.Self, Incarnation: c.incarnation,
 		Role: string(c.role.State()), Term: c.term, Leader: c.leader,
-		Commit: c.commit, Last: c.log.last().index, Snapshot: c.snapshot.Index,
+		Commit: c.commit, Last: c.log.last().index, Snapshot: c.snapshot.at.index,
 		Voters:      c.set().voters,
 		LeaseValid:  c.isLeader() && now.Before(c.leaseUntil()),
 		HandingOver: c.lead.handOver.target != "",
--- a/keelquorum/fault_test.go
+++ b/keelquorum/fault_test.go
@@ -119,6 +119,10 @@
 		}},
 		{"voter back after 500 missed entries, by tail", missed(1 << 30)},
 		{"voter back after 500 missed entries, by snapshot", missed(100)},
+		{"snapshot damaged on its way", func(s *sim) {
+			s.rot = 0.5
+			missed(100)(s)
+		}},
 		{"hand-over", func(s *sim) {
 			s.slow = 0.02
 			s.rounds(12, 200, func() {
--- a/keelquorum/follower.go
+++ b/keelquorum/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/zeebo/xxh3"
 )
 
 // hearLeader takes a message of a leader of a term. It returns false if the
@@ -79,9 +81,22 @@
 	return hint
 }
 
+// snapshotMeta describes the stored snapshot, whose data stays on the disk.
+type snapshotMeta struct {
+	at     position
+	voters []keel.Voter
+	size   uint64 // bytes
+	sum    uint64
+}
+
+func metaOf(s *keel.StoredSnapshot) snapshotMeta {
+	return snapshotMeta{position{s.Index, s.Term}, s.Voters, uint64(len(s.Data)), xxh3.Hash(s.Data)}
+}
+
 // incomingSnapshot is a snapshot that arrives in parts.
 type incomingSnapshot struct {
 	at   position
+	sum  uint64
 	from keel.InstanceName
 	data []byte
 }
@@ -95,8 +110,8 @@
 		return
 	}
 	at := position{m.Index, m.LogTerm}
-	if c.incoming.at != at || c.incoming.from != m.From {
-		c.incoming = incomingSnapshot{at: at, from: m.From}
+	if c.incoming.at != at || c.incoming.from != m.From || c.incoming.sum != m.Sum {
+		c.incoming = incomingSnapshot{at: at, from: m.From, sum: m.Sum}
 	}
 	if m.Offset == uint64(len(c.incoming.data)) {
 		c.incoming.data = append(c.incoming.data, m.Chunk...)
@@ -106,8 +121,14 @@
 		c.send(m.From, Message{Type: MessageSnapshotAnswer, Index: m.Index, Offset: got, Round: m.Round})
 		return
 	}
-	c.install(keel.StoredSnapshot{Index: m.Index, Term: m.LogTerm, Voters: m.Voters, Data: c.incoming.data})
+	data := c.incoming.data
 	c.incoming = incomingSnapshot{}
+	if xxh3.Hash(data) != m.Sum {
+		// It was damaged on the leader's disk or on its way.
+		c.send(m.From, Message{Type: MessageSnapshotAnswer, Index: m.Index, Round: m.Round})
+		return
+	}
+	c.install(keel.StoredSnapshot{Index: m.Index, Term: m.LogTerm, Voters: m.Voters, Data: data})
 	c.confirm(m, m.Index)
 }
 
@@ -119,7 +140,7 @@
 	}
 	c.log.reset(position{s.Index, s.Term})
 	c.sets = []voterSet{{s.Index, s.Voters}}
-	c.snapshot = s
+	c.snapshot = metaOf(&s)
 	c.commit, c.handed, c.stored = s.Index, s.Index, s.Index
 	c.out.snapshot, c.out.restore, c.out.unstored = &s, true, s.Index+1
 }
@@ -128,13 +149,13 @@
 // at index, and drops the entries before it but for a tail.
 func (c *Core) Compact(index uint64, data []byte) {
 	term, ok := c.log.term(index)
-	if !ok || index <= c.snapshot.Index || index > c.handed || c.out.restore {
+	if !ok || index <= c.snapshot.at.index || index > c.handed || c.out.restore {
 		return
 	}
 	set := c.setAt(index)
-	c.snapshot = keel.StoredSnapshot{Index: index, Term: term, Voters: c.sets[set].voters, Data: data}
-	snapshot := c.snapshot
-	c.out.snapshot = &snapshot
+	s := keel.StoredSnapshot{Index: index, Term: term, Voters: c.sets[set].voters, Data: data}
+	c.snapshot = metaOf(&s)
+	c.out.snapshot = &s
 	c.log.compact(c.log.tail(index, c.cfg.Tail))
 	c.sets = c.sets[set:]
 }
--- a/keelquorum/message.go
+++ b/keelquorum/message.go
@@ -62,6 +62,11 @@
 	Total  uint64       `cbor:"13,keyasint,omitempty"`
 	Chunk  []byte       `cbor:"14,keyasint,omitempty"`
 	Voters []keel.Voter `cbor:"15,keyasint,omitempty"`
+	// Sum is the checksum of the whole snapshot.
+	Sum uint64 `cbor:"16,keyasint,omitempty"`
+	// ChunkSize is the length of Chunk, in bytes, which the caller of
+	// [Core.Take] reads from its storage before it sends the message.
+	ChunkSize int `cbor:"-"`
 }
 
 // maxSnapshotSize is the limit of a snapshot, in bytes.
--- a/keelquorum/node.go
+++ b/keelquorum/node.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	// MaxEntrySize is the limit of one proposal, in bytes.
-	MaxEntrySize = 8 << 20
+	// MaxEntrySize is the limit of one proposal, in bytes. The message that
+	// carries it must pass the transport, whose limit is 4 MiB by default: an
+	// entry that can't be sent would hold up the log for good.
+	MaxEntrySize = 3 << 20
 
 	defaultHeartbeat     = 100 * time.Millisecond
 	electionHeartbeats   = 10
 	defaultSnapshotEvery = 1000
-	ticksPerHeartbeat    = 2
+	ticksPerHeartbeat    = 4
 	// inboxSize is the number of messages that wait for the core; more are
 	// dropped, as a network may do.
 	inboxSize = 1024
@@ -33,7 +35,8 @@
 type Config struct {
 	// Self names this instance.
 	Self keel.InstanceName
-	// Storage keeps the log. The node closes it when it stops.
+	// Storage keeps the log. It must implement [keel.SnapshotReader]. The node
+	// closes it when it stops.
 	Storage keel.Storage
 	// Machine gets the committed entries.
 	Machine keel.StateMachine
@@ -63,8 +66,8 @@
 // Check reports missing values.
 func (cfg *Config) Check() keel.Faults {
 	fs := keel.CheckName("self", cfg.Self)
-	if cfg.Storage == nil {
-		fs.Add("storage", "must be given")
+	if _, ok := cfg.Storage.(keel.SnapshotReader); !ok {
+		fs.Add("storage", "must be given and implement keel.SnapshotReader")
 	}
 	if cfg.Machine == nil {
 		fs.Add("machine", "must be given")
@@ -103,7 +106,9 @@
 	inbox   chan Message
 	calls   chan call
 	applier *applier
-	sender  *sender
+	// snapshots reads the storage's snapshot.
+	snapshots keel.SnapshotReader
+	sender    *sender
 	// stopped is closed when Run ends.
 	stopped chan struct{}
 	running atomic.Bool
@@ -152,6 +157,7 @@
 		waiters: map[uint64][]waiter{},
 		sender:  newSender(cfg),
 	}
+	n.snapshots, _ = cfg.Storage.(keel.SnapshotReader)
 	n.applier = newApplier(n)
 	if err := n.applier.restore(st.Snapshot); err != nil {
 		return nil, err
@@ -245,7 +251,7 @@
 			return err
 		}
 		n.core.Stored(time.Now())
-		n.sender.send(a.Late)
+		n.sender.send(n.readChunks(a.Late))
 		n.applier.add(&a)
 	}
 }
@@ -270,6 +276,24 @@
 	return nil
 }
 
+// readChunks reads the parts of the snapshot that messages carry. A message
+// whose snapshot was replaced meanwhile is dropped; the next heartbeat sends the
+// newer one.
+func (n *Node) readChunks(messages []Message) []Message {
+	whole := messages[:0]
+	for _, m := range messages {
+		if m.ChunkSize > 0 {
+			m.Chunk = make([]byte, m.ChunkSize)
+			if err := n.snapshots.ReadSnapshot(m.Index, m.Offset, m.Chunk); err != nil {
+				n.cfg.Log.WithError(err).Warn("part of the snapshot not read")
+				continue
+			}
+		}
+		whole = append(whole, m)
+	}
+	return whole
+}
+
 // stepAside keeps a node with a failed storage out of the agreement: it answers
 // no message and accepts nothing.
 func (n *Node) stepAside(ctx context.Context, err error) {
--- a/keelquorum/node_test.go
+++ b/keelquorum/node_test.go
@@ -27,11 +27,15 @@
 type memoryNet struct {
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*keelquorum.Node
+	// messages and bytes count what was sent.
+	messages, bytes int
 }
 
 func (n *memoryNet) Send(ctx context.Context, to netip.AddrPort, e keel.Envelope) error {
 	n.mu.Lock()
 	node := n.nodes[to]
+	n.messages++
+	n.bytes += len(e.Body)
 	n.mu.Unlock()
 	if node == nil {
 		return errors.New("instance is down")
--- a/keelstore/folder.go
+++ b/keelstore/folder.go
@@ -41,6 +41,8 @@
 	fresh    bool
 	vote     keel.StoredVote
 	snapshot keel.StoredSnapshot
+	// data is the offset of the data in the snapshot file, in bytes.
+	data     int64
 	segments []segmentFile
 	// base is the entry before the first of entries.
 	base    position
@@ -60,14 +62,14 @@
 // readFolder reads and checks every file of dir.
 func readFolder(dir string) (folder, error) {
 	var fo folder
-	hasVote, err := readSingle(dir, voteFile, kindVote, (*checkedVote)(&fo.vote))
+	hasVote, err := readVote(dir, &fo.vote)
 	if err != nil {
 		return fo, err
 	}
-	hasSnapshot, err := readSingle(dir, snapshotFile, kindSnapshot, (*checkedSnapshot)(&fo.snapshot))
-	if err != nil {
+	if fo.data, err = readSnapshot(dir, &fo.snapshot); err != nil {
 		return fo, err
 	}
+	hasSnapshot := fo.data != 0
 	if fo.segments, err = readSegments(dir); err != nil {
 		return fo, err
 	}
@@ -154,34 +156,53 @@
 	return files, nil
 }
 
-// readSingle reads a file that holds one record. Such a file is replaced as a
-// whole, so it is never torn.
-func readSingle(dir, name string, kind fileKind, v keel.Checker) (bool, error) {
-	path := filepath.Join(dir, name)
+// readVote reads the vote file and says whether there is one.
+func readVote(dir string, v *keel.StoredVote) (bool, error) {
+	path := filepath.Join(dir, voteFile)
+	b, end, err := readFirst(path, kindVote, (*checkedVote)(v))
+	if err != nil || b == nil {
+		return false, err
+	}
+	return true, wholeFile(path, b, end)
+}
+
+// readFirst reads a file that is always replaced as a whole, and decodes its
+// first record into v. It returns the file and the offset after that record, or
+// nil if there is no such file.
+func readFirst(path string, kind fileKind, v keel.Checker) ([]byte, int64, error) {
 	b, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return false, nil
+		return nil, 0, nil
 	}
 	if err != nil {
-		return false, errors.Wrapf(err, "read %s", name)
+		return nil, 0, errors.Wrap(err, "read stored state")
 	}
 	if _, err := decodeHeader(path, b, kind); err != nil {
-		return false, err
+		return nil, 0, err
 	}
 	payload, end, err := readRecord(path, b, headerSize)
-	if torn := (errTorn{}); errors.As(err, &torn) {
-		return false, &DamageError{path, torn.offset, "record is not whole"}
+	if err := damageOf(path, err); err != nil {
+		return nil, 0, err
 	}
-	if err != nil {
-		return false, err
+	if err := keel.DecodeCBOR(payload, v); err != nil {
+		return nil, 0, &DamageError{path, headerSize, err.Error()}
 	}
-	if end != int64(len(b)) {
-		return false, &DamageError{path, end, "data follows the record"}
+	return b, end, nil
+}
+
+// damageOf makes a torn record of a file that is replaced as a whole a damage.
+func damageOf(path string, err error) error {
+	if torn := (errTorn{}); errors.As(err, &torn) {
+		return &DamageError{path, torn.offset, "record is not whole"}
 	}
-	if err := keel.DecodeCBOR(payload, v); err != nil {
-		return false, &DamageError{path, headerSize, err.Error()}
+	return err
+}
+
+func wholeFile(path string, b []byte, end int64) error {
+	if end != int64(len(b)) {
+		return &DamageError{path, end, "data follows the last record"}
 	}
-	return true, nil
+	return nil
 }
 
 type checkedVote keel.StoredVote
@@ -194,14 +215,3 @@
 	}
 	return fs
 }
-
-type checkedSnapshot keel.StoredSnapshot
-
-// Check reports a missing index.
-func (s *checkedSnapshot) Check() keel.Faults {
-	var fs keel.Faults
-	if s.Index == 0 {
-		fs.Add("index", "must not be 0")
-	}
-	return fs
-}
--- a/keelstore/memory.go
+++ b/keelstore/memory.go
@@ -23,7 +23,10 @@
 	kept   int
 }
 
-var _ keel.Storage = (*Memory)(nil)
+var (
+	_ keel.Storage        = (*Memory)(nil)
+	_ keel.SnapshotReader = (*Memory)(nil)
+)
 
 // NewMemory returns an empty storage with a new incarnation.
 func NewMemory() *Memory { return NewMemoryWith(drawIncarnation()) }
@@ -132,6 +135,18 @@
 	return nil
 }
 
+// ReadSnapshot implements [keel.SnapshotReader].
+func (m *Memory) ReadSnapshot(index, offset uint64, p []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &m.state.Snapshot
+	if size := uint64(len(s.Data)); index != s.Index || offset > size || uint64(len(p)) > size-offset {
+		return errors.Errorf("read %d bytes at offset %d of the snapshot of entry %d, the stored one is of entry %d with %d bytes", len(p), offset, index, s.Index, size)
+	}
+	copy(p, s.Data[offset:])
+	return nil
+}
+
 // Close does nothing; the content stays.
 func (m *Memory) Close() error { return nil }
 
--- a/keelstore/record.go
+++ b/keelstore/record.go
@@ -91,16 +91,21 @@
 // in its file. The checksums depend on the offset, so that a record which was
 // moved does not pass.
 func appendRecord(b []byte, offset int64, payload []byte) []byte {
-	at := uint64(offset) + uint64(len(b))
-	var h [recordHeaderSize]byte
-	binary.LittleEndian.PutUint32(h[:], uint32(len(payload)))
-	binary.LittleEndian.PutUint64(h[sumAt:], xxh3.HashSeed(payload, at))
-	binary.LittleEndian.PutUint32(h[recordSumAt:], uint32(xxh3.HashSeed(h[:recordSumAt], at)))
-	b = append(b, h[:]...)
+	b = append(b, recordHeader(uint64(offset)+uint64(len(b)), payload)...)
 	b = append(b, payload...)
 	return append(b, endMark)
 }
 
+// recordHeader returns the header of a record that stands at an offset of its
+// file.
+func recordHeader(at uint64, payload []byte) []byte {
+	h := make([]byte, recordHeaderSize)
+	binary.LittleEndian.PutUint32(h, uint32(len(payload)))
+	binary.LittleEndian.PutUint64(h[sumAt:], xxh3.HashSeed(payload, at))
+	binary.LittleEndian.PutUint32(h[recordSumAt:], uint32(xxh3.HashSeed(h[:recordSumAt], at)))
+	return h
+}
+
 // errTorn reports a record that was being written when the process or the
 // machine died.
 type errTorn struct{ offset int64 }
--- /dev/null
+++ b/keelstore/snapshot.go
@@ -0,0 +1,137 @@
+package keelstore
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	keel "github.com/greengagekeel/greengagekeel"
+
+	"github.com/go-faster/errors"
+)
+
+// maxPayload is the limit of a record's length field, in bytes.
+const maxPayload = 1<<32 - 1
+
+var _ keel.SnapshotReader = (*Store)(nil)
+
+// SaveSnapshot stores a snapshot and removes the log files whose entries it
+// holds. If the log does not go on from the snapshot, all entries are dropped.
+func (s *Store) SaveSnapshot(snap keel.StoredSnapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if snap.Index <= s.base.index {
+		return errors.Errorf("snapshot of entry %d is older than the start of the log at %d", snap.Index, s.base.index)
+	}
+	s.loaded = nil
+	return s.fail("the snapshot", s.saveSnapshot(snap))
+}
+
+func (s *Store) saveSnapshot(snap keel.StoredSnapshot) error {
+	at := position{snap.Index, snap.Term}
+	if err := s.replaceSnapshot(snap); err != nil {
+		return err
+	}
+	drop := at.index - s.base.index
+	if drop > uint64(len(s.terms)) || s.terms[drop-1] != at.term {
+		s.terms = nil
+	} else {
+		s.terms = append([]uint64(nil), s.terms[drop:]...)
+	}
+	s.base = at
+	if err := s.roll(); err != nil {
+		return err
+	}
+	return s.removeOld()
+}
+
+// removeOld removes the log files whose entries all stand in the snapshot.
+func (s *Store) removeOld() error {
+	for len(s.old) > 0 && (s.old[0].top <= s.base.index || len(s.terms) == 0) {
+		if err := os.Remove(s.old[0].path); err != nil {
+			return errors.Wrap(err, "remove log")
+		}
+		s.old = s.old[1:]
+	}
+	return s.syncDir()
+}
+
+// replaceSnapshot writes the snapshot's description and its data as two records.
+func (s *Store) replaceSnapshot(snap keel.StoredSnapshot) error {
+	data := snap.Data
+	if len(data) > maxPayload {
+		return errors.Errorf("snapshot has %d bytes, the limit is %d", len(data), maxPayload)
+	}
+	snap.Data = nil
+	payload, err := keel.EncodeCBOR(&snap)
+	if err != nil {
+		return err
+	}
+	h := fileHeader{kind: kindSnapshot, index: snap.Index, term: snap.Term}
+	b := appendRecord(h.encode(), 0, payload)
+	dataHeader := recordHeader(uint64(len(b)), data)
+	if err := s.replaceFile(snapshotFile, b, dataHeader, data, []byte{endMark}); err != nil {
+		return err
+	}
+	s.data = int64(len(b) + len(dataHeader))
+	return nil
+}
+
+// ReadSnapshot implements [keel.SnapshotReader].
+func (s *Store) ReadSnapshot(index, offset uint64, p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if index != s.base.index || index == 0 {
+		return errors.Errorf("read snapshot of entry %d, the stored one is of entry %d", index, s.base.index)
+	}
+	f, err := os.Open(filepath.Join(s.cfg.Dir, snapshotFile))
+	if err != nil {
+		return errors.Wrap(err, "read snapshot")
+	}
+	defer func() { _ = f.Close() }()
+	st, err := f.Stat()
+	if err != nil {
+		return errors.Wrap(err, "read snapshot")
+	}
+	size := uint64(st.Size() - s.data - endMarkSize)
+	if offset > size || uint64(len(p)) > size-offset {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "read snapshot of %d bytes at offset %d", size, offset)
+	}
+	if _, err := f.ReadAt(p, s.data+int64(offset)); err != nil {
+		return errors.Wrap(err, "read snapshot")
+	}
+	return nil
+}
+
+// readSnapshot reads the snapshot file. It returns the offset of the data, or 0
+// if there is no snapshot.
+func readSnapshot(dir string, snap *keel.StoredSnapshot) (int64, error) {
+	path := filepath.Join(dir, snapshotFile)
+	b, at, err := readFirst(path, kindSnapshot, (*checkedSnapshot)(snap))
+	if err != nil || b == nil {
+		return 0, err
+	}
+	data, end, err := readRecord(path, b, at)
+	if err := damageOf(path, err); err != nil {
+		return 0, err
+	}
+	snap.Data = data
+	return at + recordHeaderSize, wholeFile(path, b, end)
+}
+
+type checkedSnapshot keel.StoredSnapshot
+
+// Check reports a missing index.
+func (s *checkedSnapshot) Check() keel.Faults {
+	var fs keel.Faults
+	if s.Index == 0 {
+		fs.Add("index", "must not be 0")
+	}
+	return fs
+}
--- a/keelstore/store.go
+++ b/keelstore/store.go
@@ -19,8 +19,6 @@
 	defaultSegmentSize = 16 << 20 // bytes
 	filePerm           = 0o600
 	dirPerm            = 0o700
-	// maxPayload is the limit of a record's length field, in bytes.
-	maxPayload = 1<<32 - 1
 )
 
 // Config says where a store keeps its files.
@@ -44,6 +42,7 @@
 	active *os.File
 	size   int64 // of the active file, in bytes
 	seq    uint64
+	data   int64 // offset of the data in the snapshot file, in bytes
 	old    []oldSegment
 	top    uint64 // highest index in the active file
 	base   position
@@ -108,7 +107,7 @@
 	if fo.fresh {
 		return s.create(fo.vote)
 	}
-	s.vote, s.base = fo.vote, fo.base
+	s.vote, s.base, s.data = fo.vote, fo.base, fo.data
 	for i := range fo.entries {
 		s.terms = append(s.terms, fo.entries[i].Term)
 	}
@@ -208,7 +207,11 @@
 }
 
 func (s *Store) writeVote(v keel.StoredVote) error {
-	if err := s.replace(voteFile, fileHeader{kind: kindVote}, &v); err != nil {
+	payload, err := keel.EncodeCBOR(&v)
+	if err != nil {
+		return err
+	}
+	if err := s.replaceFile(voteFile, appendRecord(fileHeader{kind: kindVote}.encode(), 0, payload)); err != nil {
 		return err
 	}
 	s.vote = v
@@ -262,50 +265,6 @@
 	return nil
 }
 
-// SaveSnapshot stores a snapshot and removes the log files whose entries it
-// holds. If the log does not go on from the snapshot, all entries are dropped.
-func (s *Store) SaveSnapshot(snap keel.StoredSnapshot) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failed != nil {
-		return s.failed
-	}
-	if snap.Index <= s.base.index {
-		return errors.Errorf("snapshot of entry %d is older than the start of the log at %d", snap.Index, s.base.index)
-	}
-	s.loaded = nil
-	return s.fail("the snapshot", s.saveSnapshot(snap))
-}
-
-func (s *Store) saveSnapshot(snap keel.StoredSnapshot) error {
-	at := position{snap.Index, snap.Term}
-	if err := s.replace(snapshotFile, fileHeader{kind: kindSnapshot, index: at.index, term: at.term}, &snap); err != nil {
-		return err
-	}
-	drop := at.index - s.base.index
-	if drop > uint64(len(s.terms)) || s.terms[drop-1] != at.term {
-		s.terms = nil
-	} else {
-		s.terms = append([]uint64(nil), s.terms[drop:]...)
-	}
-	s.base = at
-	if err := s.roll(); err != nil {
-		return err
-	}
-	return s.removeOld()
-}
-
-// removeOld removes the log files whose entries all stand in the snapshot.
-func (s *Store) removeOld() error {
-	for len(s.old) > 0 && (s.old[0].top <= s.base.index || len(s.terms) == 0) {
-		if err := os.Remove(s.old[0].path); err != nil {
-			return errors.Wrap(err, "remove log")
-		}
-		s.old = s.old[1:]
-	}
-	return s.syncDir()
-}
-
 // roll starts a new log file after the last entry.
 func (s *Store) roll() error {
 	at := s.last()
@@ -334,26 +293,17 @@
 	return s.base
 }
 
-// replace writes a file with one record by atomic replace.
-func (s *Store) replace(name string, h fileHeader, v any) error {
-	payload, err := keel.EncodeCBOR(v)
-	if err != nil {
-		return err
-	}
-	if len(payload) > maxPayload {
-		return errors.Errorf("%s has %d bytes, the limit is %d", name, len(payload), maxPayload)
-	}
-	return s.replaceFile(name, appendRecord(h.encode(), 0, payload))
-}
-
-func (s *Store) replaceFile(name string, b []byte) error {
+// replaceFile writes a file of some parts by atomic replace.
+func (s *Store) replaceFile(name string, parts ...[]byte) error {
 	f, err := renameio.NewPendingFile(filepath.Join(s.cfg.Dir, name), renameio.WithPermissions(filePerm))
 	if err != nil {
 		return errors.Wrapf(err, "replace %s", name)
 	}
 	defer func() { _ = f.Cleanup() }()
-	if _, err := f.Write(b); err != nil {
-		return errors.Wrapf(err, "write %s", name)
+	for _, b := range parts {
+		if _, err := f.Write(b); err != nil {
+			return errors.Wrapf(err, "write %s", name)
+		}
 	}
 	if err := s.cfg.Sync(f.File); err != nil {
 		return errors.Wrapf(err, "sync %s", name)
--- a/keelstore/store_test.go
+++ b/keelstore/store_test.go
@@ -79,6 +79,11 @@
 				is.Equal(again, live)                                     // a restart changes nothing
 				is.Equal(again.Vote.Incarnation, before.Vote.Incarnation) // same disk
 				is.Equal(again.Snapshot.Index, tt.snapshot)
+				part := make([]byte, 3)
+				err = open().(keel.SnapshotReader).ReadSnapshot(tt.snapshot, 2, part)
+				is.Equal(err == nil, tt.snapshot > 0)
+				is.True(err != nil || string(part) == "ate")
+				is.True(open().(keel.SnapshotReader).ReadSnapshot(tt.snapshot, 3, part) != nil) // beyond the end
 				if tt.last == 0 {
 					is.Equal(len(again.Entries), 0)
 					return
