keeldeclare: declarations in force before their client blocks

Cause: a replica without a state took nothing into force before it had the whole table, and 10.6 MB at 6 KB/s from another failure domain take half an hour. Change: the first part brings everything but the blocks into force; the blocks follow in runs, each at least as new as the version in force, and deltas go first, so that changes keep coming into force in the meantime.

The blocks' part of the checksum travels too, so that the rest is checked at once. Found by 1,500 rounds of the property test and mended: a copy whose version rose by a delta offered parts as older than they were.

--- a/keeldeclare/blockpart.go
+++ b/keeldeclare/blockpart.go
@@ -88,14 +88,14 @@
 	return n
 }
 
-// part returns the blocks after the given one, up to about maxBytes, the last
-// of them, and whether they were all that are left.
-func (b *Blocks) part(after netip.Prefix, maxBytes int) (p BlockPart, last netip.Prefix, done bool) {
+// part returns the blocks after the given one, up to about maxBytes and not
+// beyond what is covered, the last of them, and whether no others follow.
+func (b *Blocks) part(after netip.Prefix, maxBytes int, cov covered) (p BlockPart, last netip.Prefix, done bool) {
 	w := newPartWriter(b)
 	last = after
 	if !after.IsValid() || after.Addr().Is4() {
 		for e := range b.v4After(after) {
-			if w.size() >= maxBytes {
+			if w.size() >= maxBytes || cov.ends(e.prefix()) {
 				return w.part, last, false
 			}
 			w.add4(e)
@@ -104,13 +104,18 @@
 		after = netip.Prefix{}
 	}
 	for e := range b.v6After(after) {
-		if w.size() >= maxBytes {
+		if w.size() >= maxBytes || cov.ends(e.prefix()) {
 			return w.part, last, false
 		}
 		w.add6(e)
 		last = e.prefix()
 	}
-	return w.part, last, true
+	return w.part, last, !cov.partial
+}
+
+// ends reports whether p lies beyond what is covered.
+func (c covered) ends(p netip.Prefix) bool {
+	return c.partial && (!c.until.IsValid() || p.Compare(c.until) > 0)
 }
 
 func (b *Blocks) v4After(after netip.Prefix) func(func(entry4) bool) {
--- a/keeldeclare/changelog.go
+++ b/keeldeclare/changelog.go
@@ -26,6 +26,8 @@
 	// Pieces hold the operations, packed: so they take a small part of the
 	// memory that they take as values.
 	Pieces []piece `cbor:"7,keyasint"`
+	// BlockSum is the sum of the hashes of all blocks at To.
+	BlockSum uint64 `cbor:"8,keyasint"`
 }
 
 // pieceBytes is the size from which on a piece takes no more operations.
@@ -169,6 +171,9 @@
 	// Checksum is that of the state at To.
 	Checksum uint64    `json:"checksum" cbor:"3,keyasint"`
 	Ops      []keel.Op `json:"ops" cbor:"4,keyasint"`
+	// BlockSum is the part of the checksum that covers the blocks, so that a
+	// copy can check the rest while it still lacks some of them.
+	BlockSum uint64 `json:"block_sum" cbor:"7,keyasint"`
 	// Skip is how many operations of the delta went before these in other
 	// parts; More says that others follow.
 	Skip int  `json:"skip,omitempty" cbor:"5,keyasint,omitempty"`
@@ -210,7 +215,7 @@
 			return Delta{}, false
 		}
 		d.Ops = append(d.Ops, ops...)
-		d.To, d.Checksum = r.To, r.Checksum
+		d.To, d.Checksum, d.BlockSum = r.To, r.Checksum, r.BlockSum
 	}
 	d.Ops = lastOps(d.Ops)
 	return d, true
@@ -227,7 +232,7 @@
 	if r.size() <= maxBytes {
 		return l.delta(v, maxBytes)
 	}
-	d := Delta{From: v, To: r.To, Checksum: r.Checksum}
+	d := Delta{From: v, To: r.To, Checksum: r.Checksum, BlockSum: r.BlockSum}
 	if to == r.To {
 		d.Skip = skip
 	}
--- a/keeldeclare/fetch.go
+++ b/keeldeclare/fetch.go
@@ -21,8 +21,8 @@
 type FetchRequest struct {
 	// From is the version that the asking side has.
 	From keel.Version `json:"from" cbor:"1,keyasint"`
-	// Refill asks for the whole state, beginning after the block After, or at
-	// the start if After is not valid.
+	// Refill asks for the blocks after the block After, or from the first one
+	// on if After is not valid, unless there is a higher version.
 	Refill bool         `json:"refill,omitempty" cbor:"2,keyasint,omitempty"`
 	After  netip.Prefix `json:"after,omitzero" cbor:"3,keyasint,omitzero"`
 	// To and Skip ask for the rest of a delta that came in parts.
@@ -30,6 +30,8 @@
 	Skip int          `json:"skip,omitempty" cbor:"5,keyasint,omitempty"`
 	// MaxBytes bounds the response; 0 means 64 KiB.
 	MaxBytes int `json:"max_bytes,omitempty" cbor:"6,keyasint,omitempty"`
+	// Whole asks for the whole state instead of a delta.
+	Whole bool `json:"whole,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Check reports negative numbers.
@@ -63,11 +65,12 @@
 	Checksum uint64       `json:"checksum" cbor:"2,keyasint"`
 	Delta    *Delta       `json:"delta,omitempty" cbor:"3,keyasint,omitempty"`
 	Full     *FullPart    `json:"full,omitempty" cbor:"4,keyasint,omitempty"`
+	// BlockSum is the part of Checksum that covers the blocks.
+	BlockSum uint64 `json:"block_sum" cbor:"5,keyasint"`
 }
 
-// FullPart is a part of the whole state as of the response's version. Parts of
-// one refill may come from different versions: a delta from the lowest of them
-// to the highest one or above makes them one state.
+// FullPart is a part of the whole state: in the first part everything but the
+// blocks, as of the response's version, and in each part a run of blocks.
 type FullPart struct {
 	// First says that the part is the first one. It holds Declarations.
 	First        bool               `json:"first,omitempty" cbor:"1,keyasint,omitempty"`
@@ -77,6 +80,11 @@
 	After netip.Prefix `json:"after,omitzero" cbor:"4,keyasint,omitzero"`
 	// Done says that no blocks follow.
 	Done bool `json:"done,omitempty" cbor:"5,keyasint,omitempty"`
+	// Begin is the block that the request named.
+	Begin netip.Prefix `json:"begin,omitzero" cbor:"6,keyasint,omitzero"`
+	// High is the highest version that the blocks may be of; none is of one
+	// below the response's version.
+	High keel.Version `json:"high" cbor:"7,keyasint"`
 }
 
 // Check reports faults of the parts.
@@ -94,37 +102,52 @@
 	if r.Full.First != (r.Full.Declarations != nil) {
 		fs.Add("full.declarations", "must be given in the first part and in no other")
 	}
+	if r.Full.High < r.Version {
+		fs.Add("full.high", "is %d, must not be below version %d", r.Full.High, r.Version)
+	}
 	fs.Under("full.blocks", r.Full.Blocks.Check())
 	return fs
 }
 
-// serve answers a request out of a state and the changes that led to it.
-func serve(s *Snapshot, log *changeLog, req *FetchRequest) FetchResponse {
-	resp := FetchResponse{Version: s.Version, Checksum: s.Checksum}
-	if req.Refill {
-		resp.Full = fullPart(s, req.After, req.limit())
-		return resp
-	}
-	if req.From >= s.Version {
-		return resp
-	}
-	if req.From > 0 {
+// useful reports whether the response has anything but declarations that the
+// asking side may have by now. A peer without more is asked again later.
+func (r *FetchResponse) useful() bool {
+	return r.Delta != nil || r.Full != nil && (r.Full.Done || r.Full.Blocks.Count > 0)
+}
+
+// serve answers a request out of a state and the changes that led to it. A
+// higher version goes before blocks that are missing.
+func serve(s *Snapshot, log *changeLog, cov covered, req *FetchRequest) FetchResponse {
+	resp := FetchResponse{Version: s.Version, Checksum: s.Checksum, BlockSum: s.blockSum}
+	switch {
+	case req.From > s.Version:
+	case req.From == s.Version:
+		if req.Refill {
+			resp.Full = fullPart(s, req.After, req.limit(), cov)
+		}
+	case req.From > 0 && !req.Whole:
 		if d, ok := log.deltaPart(req.From, req.To, req.Skip, req.limit()); ok {
 			resp.Delta = &d
+			return resp
 		}
-	}
-	if resp.Delta == nil {
-		resp.Full = fullPart(s, netip.Prefix{}, req.limit())
+		fallthrough
+	default:
+		resp.Full = fullPart(s, netip.Prefix{}, req.limit(), cov)
 	}
 	return resp
 }
 
-func fullPart(s *Snapshot, after netip.Prefix, limit int) *FullPart {
-	p := &FullPart{First: !after.IsValid()}
+// fullPart returns the part after the given block, or nil if it would hold
+// nothing.
+func fullPart(s *Snapshot, after netip.Prefix, limit int, cov covered) *FullPart {
+	p := &FullPart{First: !after.IsValid(), Begin: after, High: cov.high}
 	if p.First {
 		p.Declarations = s.Declarations
 	}
-	p.Blocks, p.After, p.Done = s.Blocks.part(after, limit)
+	p.Blocks, p.After, p.Done = s.Blocks.part(after, limit, cov)
+	if p.Blocks.Count == 0 && !p.First && !p.Done {
+		return nil
+	}
 	return p
 }
 
--- a/keeldeclare/fetcher.go
+++ b/keeldeclare/fetcher.go
@@ -77,7 +77,7 @@
 	f.mu.Lock()
 	f.sources.notice(f.cfg.Clock.Now(), peer, v, sameDomain)
 	f.mu.Unlock()
-	if v <= f.cfg.Replica.Current().Version {
+	if v < f.wanted() {
 		return
 	}
 	select {
@@ -86,6 +86,15 @@
 	}
 }
 
+// wanted returns the version from which on a peer is of use.
+func (f *Fetcher) wanted() keel.Version {
+	s := f.cfg.Replica.Current()
+	if s.Partial {
+		return s.Version
+	}
+	return s.Version + 1
+}
+
 // Stats returns what the fetcher did so far.
 func (f *Fetcher) Stats() FetcherStats {
 	f.mu.Lock()
@@ -124,7 +133,7 @@
 // than 0 for not at all, 0 until a notice comes.
 func (f *Fetcher) step(ctx context.Context) time.Duration {
 	f.mu.Lock()
-	peer, same, wait := f.sources.pick(f.cfg.Clock.Now(), f.cfg.Replica.Current().Version)
+	peer, same, wait := f.sources.pick(f.cfg.Clock.Now(), f.wanted())
 	f.mu.Unlock()
 	if !peer.IsValid() {
 		return wait
@@ -184,7 +193,7 @@
 		f.cfg.Log.WithError(err).Error("declarations are in force but not on disk")
 		err = nil
 	}
-	if err == nil && resp.Delta == nil && resp.Full == nil {
+	if err == nil && !resp.useful() {
 		f.sources.answered(peer, resp.Version)
 		f.sources.failed(f.cfg.Clock.Now(), peer) // it has nothing of use yet
 		return
--- a/keeldeclare/machine.go
+++ b/keeldeclare/machine.go
@@ -161,7 +161,7 @@
 }
 
 func (m *Machine) accept(cur *Snapshot, c *keel.Change) (*Snapshot, keel.Faults) {
-	next, faults := cur.next(cur.Version+1, c.Ops, opStrict)
+	next, faults := cur.next(cur.Version+1, c.Ops)
 	if len(faults) > 0 {
 		return nil, faults
 	}
@@ -177,6 +177,7 @@
 		Author:   c.Author,
 		Time:     c.Time,
 		Pieces:   pieces,
+		BlockSum: next.blockSum,
 	})
 	return next, nil
 }
@@ -202,6 +203,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "restore declarations of entry %d", index)
 	}
+	if s.Partial {
+		return errors.Errorf("snapshot of version %d lacks client blocks", s.Version)
+	}
 	if h.Applied > index {
 		return errors.Errorf("snapshot holds entry %d, which is after entry %d", h.Applied, index)
 	}
--- a/keeldeclare/replica.go
+++ b/keeldeclare/replica.go
@@ -1,6 +1,7 @@
 package keeldeclare
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -24,16 +25,21 @@
 // Replica is an instance's copy of the declarations. Its version only rises,
 // also through restarts if it has a folder. It is safe for use by several
 // goroutines.
+//
+// A replica that can't be brought up by a delta takes the declarations into
+// force at once, and fetches the client blocks after that; until it has them
+// all its state is partial.
 type Replica struct {
 	cfg     ReplicaConfig
 	current atomic.Pointer[Snapshot]
 
-	mu      sync.Mutex // held while a state is installed
-	log     changeLog
-	refill  *refill
-	pending *Delta // parts of a delta that are there
-	files   *replicaFiles
-	keepErr error // last fault of the folder
+	mu       sync.Mutex // held while a state is installed
+	log      changeLog
+	backfill *backfill // while the state is partial
+	whole    bool      // a delta did not fit, so that a whole state is needed
+	pending  *Delta    // parts of a delta that are there
+	files    *replicaFiles
+	keepErr  error // last fault of the folder
 }
 
 // NewReplica returns a replica with the state that its folder holds. A damaged
@@ -52,6 +58,9 @@
 	if s != nil {
 		r.current.Store(s)
 		r.log.reset(records)
+		if s.Partial {
+			r.backfill = &backfill{high: s.Version}
+		}
 	}
 	return r, nil
 }
@@ -68,8 +77,9 @@
 	r.mu.Lock()
 	s := r.current.Load()
 	log := r.log
+	cov := r.backfill.covered(s)
 	r.mu.Unlock()
-	return serve(s, &log, &req)
+	return serve(s, &log, cov, &req)
 }
 
 // NextRequest returns the request that leads on from what the replica has, for
@@ -77,29 +87,27 @@
 func (r *Replica) NextRequest(maxBytes int) FetchRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	req := FetchRequest{From: r.current.Load().Version, MaxBytes: maxBytes}
-	switch {
-	case r.refill == nil:
-	case r.refill.done():
-		req.From = r.refill.low
-	default:
-		req.Refill, req.After = true, r.refill.after
+	req := FetchRequest{From: r.current.Load().Version, MaxBytes: maxBytes, Whole: r.whole}
+	if r.backfill != nil && !r.backfill.done {
+		req.Refill, req.After = true, r.backfill.after
 	}
-	if r.pending != nil && r.pending.From == req.From {
+	if r.pending != nil {
 		req.To, req.Skip = r.pending.To, len(r.pending.Ops)
 	}
 	return req
 }
 
-// Install takes a response to the last request. It changes the state in force
-// once everything for a higher version is there, and verifies its checksum. With
-// [ErrNotKept] the new state is in force.
+// Install takes a response to the last request. A higher version is in force
+// when it returns, once all parts of it are there; its checksum was verified
+// then. With [ErrNotKept] the new state is in force too.
 func (r *Replica) Install(resp FetchResponse) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
+	case resp.Full != nil && resp.Full.First && resp.Version > r.current.Load().Version:
+		return r.begin(&resp)
 	case resp.Full != nil:
-		return r.installPart(&resp)
+		return r.fill(&resp)
 	case resp.Delta != nil:
 		return r.installDelta(resp.Delta)
 	default:
@@ -107,34 +115,60 @@
 	}
 }
 
-func (r *Replica) installPart(resp *FetchResponse) error {
-	if r.refill == nil && resp.Version <= r.current.Load().Version {
-		return nil
-	}
-	if r.refill == nil {
-		r.refill = newRefill()
-	}
-	r.pending = nil
-	if err := r.refill.add(resp.Version, resp.Full); err != nil {
-		r.refill = nil
+// begin takes the declarations of a first part into force, and its blocks. The
+// blocks that were there stay until others come in their place.
+func (r *Replica) begin(resp *FetchResponse) error {
+	p := resp.Full
+	blocks, err := r.current.Load().Blocks.withPart(p)
+	if err != nil {
 		return err
 	}
-	if !r.refill.done() || r.refill.low != r.refill.high {
-		return nil
-	}
-	s, err := r.refill.base()
-	r.refill = nil
+	s, err := newPartial(resp.Version, p.Declarations, blocks, resp.BlockSum)
 	if err != nil {
 		return err
 	}
 	if s.Checksum != resp.Checksum {
 		return checksumError(s, resp.Checksum)
 	}
-	return r.put(s, nil)
+	r.backfill = &backfill{}
+	r.backfill.add(p)
+	r.whole, r.pending = false, nil
+	r.log.reset(nil)
+	s.Partial = true
+	return r.store(s, true)
+}
+
+// fill takes the next run of blocks.
+func (r *Replica) fill(resp *FetchResponse) error {
+	cur := r.current.Load()
+	f, p := r.backfill, resp.Full
+	if f == nil || f.done || resp.Version < cur.Version || p.Begin != f.after {
+		return nil // old, doubled or overtaken
+	}
+	blocks, err := cur.Blocks.withPart(p)
+	if err != nil {
+		return err
+	}
+	f.add(p)
+	s := *cur
+	s.Blocks = blocks
+	return r.store(&s, false)
 }
 
-func checksumError(s *Snapshot, want uint64) error {
-	return errors.Errorf("checksum of version %d is %x, should be %x", s.Version, s.Checksum, want)
+// complete ends the backfill if s has all blocks of its version. If they are
+// not what they should be, it starts again.
+func (r *Replica) complete(s *Snapshot) error {
+	f := r.backfill
+	if f == nil || !f.done || s.Version < f.high {
+		return nil
+	}
+	if s.Blocks.sum != s.blockSum {
+		r.backfill = &backfill{high: s.Version}
+		return errors.Errorf("client blocks of version %d have the sum %x, should have %x", s.Version, s.Blocks.sum, s.blockSum)
+	}
+	r.backfill = nil
+	s.Partial = false
+	return nil
 }
 
 func (r *Replica) installDelta(d *Delta) error {
@@ -142,9 +176,6 @@
 	if d.More {
 		return nil
 	}
-	if r.refill != nil && r.refill.done() {
-		return r.finishRefill(d)
-	}
 	cur := r.current.Load()
 	if d.To <= cur.Version {
 		return nil
@@ -152,15 +183,15 @@
 	if d.From > cur.Version {
 		return errors.Errorf("delta starts at version %d, the version in force is %d", d.From, cur.Version)
 	}
-	next, faults := cur.next(d.To, d.Ops, opReplay)
-	if err := faults.Err(); err != nil {
-		return errors.Wrapf(err, "apply delta from %d to %d", d.From, d.To)
+	next, err := cur.replay(d.To, d.Ops, d.Checksum, d.BlockSum)
+	if err != nil {
+		r.whole = true // this copy differs, so take a whole one
+		return errors.Wrapf(err, "apply delta from %d", d.From)
 	}
-	if next.Checksum != d.Checksum {
-		r.refill = newRefill() // this copy differs, so take a whole one
-		return checksumError(next, d.Checksum)
+	if err := r.logDelta(next, d); err != nil {
+		return err
 	}
-	return r.put(next, d)
+	return r.store(next, true)
 }
 
 // gather joins the parts of a delta. It returns the whole delta, or one with
@@ -181,75 +212,45 @@
 	return d
 }
 
-// finishRefill brings the collected parts to one version.
-func (r *Replica) finishRefill(d *Delta) error {
-	f := r.refill
-	if d.From > f.low || d.To <= f.low {
-		return errors.Errorf("delta from version %d to %d does not lead on from version %d", d.From, d.To, f.low)
-	}
-	base, err := f.base()
-	if err != nil {
-		return err
-	}
-	next, faults := base.next(d.To, d.Ops, opReplay)
-	if err := faults.Err(); err != nil {
-		return errors.Wrapf(err, "apply delta from %d to %d", d.From, d.To)
-	}
-	f.decl, f.blocks, f.low = next.Declarations, next.Blocks, d.To
-	if d.To < f.high {
-		return nil
-	}
-	r.refill = nil
-	if next.Checksum != d.Checksum {
-		return checksumError(next, d.Checksum)
-	}
-	return r.put(next, nil)
-}
-
-// put makes s the state in force. The delta that led to it is kept for other
-// instances; without one, older states can't be served a delta.
-func (r *Replica) put(s *Snapshot, d *Delta) error {
-	if s.Version <= r.current.Load().Version {
-		return nil
-	}
-	if r.refill != nil && r.refill.high <= s.Version {
-		r.refill = nil
-	}
-	if err := r.logDelta(s, d); err != nil {
-		return err
+// store makes s the state in force. It tells of a new version, and of the end
+// of a backfill.
+func (r *Replica) store(s *Snapshot, newVersion bool) error {
+	fillErr := r.complete(s)
+	whole := r.current.Load().Partial && !s.Partial
+	if newVersion || whole {
+		r.keepErr = r.keep(s, whole)
 	}
-	r.keepErr = r.keep(s)
 	r.current.Store(s)
-	if r.cfg.OnApply != nil {
+	if r.cfg.OnApply != nil && (newVersion || whole) {
 		r.cfg.OnApply(s)
 	}
+	if fillErr != nil {
+		return fillErr
+	}
 	if r.keepErr != nil {
 		return errors.Wrap(ErrNotKept, r.keepErr.Error())
 	}
 	return nil
 }
 
+// logDelta keeps a delta for other instances.
 func (r *Replica) logDelta(s *Snapshot, d *Delta) error {
-	if d == nil {
-		r.log.reset(nil)
-		return nil
-	}
 	pieces, err := pack(d.Ops)
 	if err != nil {
 		return err
 	}
 	r.log.add(record{
 		From: r.current.Load().Version, To: s.Version, Checksum: s.Checksum,
-		Pieces: pieces,
+		Pieces: pieces, BlockSum: s.blockSum,
 	})
 	return nil
 }
 
-func (r *Replica) keep(s *Snapshot) error {
+func (r *Replica) keep(s *Snapshot, newBase bool) error {
 	if r.files == nil {
 		return nil
 	}
-	return r.files.save(s, r.log.records)
+	return r.files.save(s, r.log.records, newBase)
 }
 
 // Follow makes the state of a voter's machine the state in force, if it is
@@ -263,10 +264,16 @@
 	if s.Version <= cur.Version {
 		return nil
 	}
-	if d, ok := m.Delta(cur.Version); ok && d.To == s.Version {
-		return r.put(s, &d)
+	r.backfill, r.whole, r.pending = nil, false, nil
+	d, ok := m.Delta(cur.Version)
+	if !ok || d.To != s.Version {
+		r.log.reset(nil)
+		return r.store(s, true)
+	}
+	if err := r.logDelta(s, &d); err != nil {
+		return err
 	}
-	return r.put(s, nil)
+	return r.store(s, true)
 }
 
 // ReplicaDump is the replica's part of the state dump.
@@ -276,18 +283,21 @@
 	Blocks   int          `json:"blocks"`
 	Records  int          `json:"changes_kept"`
 	LogBytes int          `json:"change_bytes_kept"`
-	// Refill tells how far a transfer of the whole state has come.
-	Refill *RefillDump `json:"refill,omitempty"`
+	// Backfill tells how far the transfer of client blocks has come, if some
+	// are missing.
+	Backfill *BackfillDump `json:"backfill,omitempty"`
 	// KeepError is the last fault of the folder.
 	KeepError string `json:"keep_error,omitempty"`
 }
 
-// RefillDump tells how far a transfer of the whole state has come.
-type RefillDump struct {
-	Blocks int          `json:"blocks"`
-	Low    keel.Version `json:"lowest_version"`
-	High   keel.Version `json:"highest_version"`
-	Done   bool         `json:"all_parts_there"`
+// BackfillDump tells how far a transfer of client blocks has come.
+type BackfillDump struct {
+	Blocks int `json:"blocks"`
+	// After is the last block that came.
+	After netip.Prefix `json:"after,omitzero"`
+	// High is the version of the newest part.
+	High keel.Version `json:"highest_version"`
+	Done bool         `json:"all_parts_there"`
 }
 
 // Dump returns the replica's part of the state dump.
@@ -299,8 +309,8 @@
 		Version: s.Version, Checksum: s.Checksum, Blocks: s.Blocks.Len(),
 		Records: len(r.log.records), LogBytes: r.log.bytes,
 	}
-	if r.refill != nil {
-		d.Refill = &RefillDump{Blocks: r.refill.count, Low: r.refill.low, High: r.refill.high, Done: r.refill.done()}
+	if f := r.backfill; f != nil {
+		d.Backfill = &BackfillDump{Blocks: f.count, After: f.after, High: f.high, Done: f.done}
 	}
 	if r.keepErr != nil {
 		d.KeepError = r.keepErr.Error()
--- a/keeldeclare/replicafiles.go
+++ b/keeldeclare/replicafiles.go
@@ -67,7 +67,7 @@
 		if r.To <= s.Version {
 			continue // left from before the base was replaced
 		}
-		if s, err = s.replay(r); err != nil {
+		if s, err = s.replayRecord(r); err != nil {
 			return nil, nil, errors.Wrapf(err, "file %s", f.path(tailFile))
 		}
 		records = append(records, *r)
@@ -75,8 +75,8 @@
 	return s, records, nil
 }
 
-// replay applies a record and verifies the checksum of the result.
-func (s *Snapshot) replay(r *record) (*Snapshot, error) {
+// replayRecord applies a record and verifies the checksum of the result.
+func (s *Snapshot) replayRecord(r *record) (*Snapshot, error) {
 	if r.From > s.Version {
 		return nil, errors.Errorf("changes from version %d to %d are missing", s.Version, r.From)
 	}
@@ -84,14 +84,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "changes to version %d", r.To)
 	}
-	next, faults := s.next(r.To, ops, opReplay)
-	if err := faults.Err(); err != nil {
-		return nil, errors.Wrapf(err, "changes to version %d", r.To)
-	}
-	if next.Checksum != r.Checksum {
-		return nil, checksumError(next, r.Checksum)
-	}
-	return next, nil
+	return s.replay(r.To, ops, r.Checksum, r.BlockSum)
 }
 
 func (f *replicaFiles) loadBase() (*stateHeader, *Snapshot, error) {
@@ -159,8 +152,8 @@
 }
 
 // save keeps s, to which records lead from the base if they reach back so far.
-func (f *replicaFiles) save(s *Snapshot, records []record) error {
-	if t, ok := f.tailOf(records); ok {
+func (f *replicaFiles) save(s *Snapshot, records []record, newBase bool) error {
+	if t, ok := f.tailOf(records); ok && !newBase {
 		return f.saveTail(t)
 	}
 	if err := f.saveBase(s, records); err != nil {
--- a/keeldeclare/sources.go
+++ b/keeldeclare/sources.go
@@ -61,17 +61,17 @@
 	delete(s.peers, oldest)
 }
 
-// pick returns the peer to ask: of those with more than version have, one of
-// the own failure domain, then the one with fewer failures, then the one with
+// pick returns the peer to ask: of those with version want or a higher one, one
+// of the own failure domain, then the one with fewer failures, then the one with
 // the highest version. Without one that may be asked now, wait is the time
 // until one may, or 0 if there is none.
-func (s *sources) pick(now time.Time, have keel.Version) (peer netip.AddrPort, sameDomain bool, wait time.Duration) {
+func (s *sources) pick(now time.Time, want keel.Version) (peer netip.AddrPort, sameDomain bool, wait time.Duration) {
 	for addr, p := range s.peers {
 		if now.Sub(p.heard) > sourceLife {
 			delete(s.peers, addr)
 			continue
 		}
-		if p.version <= have {
+		if p.version < want {
 			continue
 		}
 		if d := p.notBefore.Sub(now); d > 0 {
--- a/keeldeclare/statefile.go
+++ b/keeldeclare/statefile.go
@@ -27,6 +27,9 @@
 	Outcomes     []keel.Outcome     `cbor:"7,keyasint,omitempty"`
 	Applied      uint64             `cbor:"8,keyasint,omitempty"`
 	Ignored      uint64             `cbor:"9,keyasint,omitempty"`
+	// BlockSum differs from that of the blocks that follow if some are
+	// missing.
+	BlockSum uint64 `cbor:"10,keyasint"`
 }
 
 // Check reports an unknown format and records that don't follow each other.
@@ -56,7 +59,7 @@
 // writeState writes s with what h holds besides.
 func writeState(w io.Writer, h stateHeader, s *Snapshot) error {
 	h.Format = stateFormat
-	h.Version, h.Checksum = s.Version, s.Checksum
+	h.Version, h.Checksum, h.BlockSum = s.Version, s.Checksum, s.blockSum
 	h.Declarations = s.Declarations
 	h.Blocks = s.Blocks.Len()
 	cw := keel.NewCBORWriter(w)
@@ -66,7 +69,7 @@
 	var after netip.Prefix
 	for done := h.Blocks == 0; !done; {
 		var p BlockPart
-		p, after, done = s.Blocks.part(after, statePartBytes)
+		p, after, done = s.Blocks.part(after, statePartBytes, covered{})
 		if err := cw.Write(&p); err != nil {
 			return err
 		}
@@ -95,12 +98,12 @@
 		}
 		n += p.Count
 	}
-	s, err := newSnapshot(h.Version, h.Declarations, b.done())
+	s, err := newPartial(h.Version, h.Declarations, b.done(), h.BlockSum)
 	if err != nil {
 		return nil, nil, err
 	}
 	if s.Checksum != h.Checksum {
-		return nil, nil, errors.Errorf("checksum of version %d is %x, should be %x", s.Version, s.Checksum, h.Checksum)
+		return nil, nil, checksumError(s, h.Checksum)
 	}
 	return h, s, nil
 }
