keelguard: tell a slow endpoint from a dead path by acknowledgements

Cause: an endpoint that took longer than a second to answer looked like a silent connection; a probe worked, so its request was cut. Change: connections in doubt are asked for the age of the last acknowledgement and get keep-alive probes; the limit is 1.5 s, above the one second between probes. A permission of a suspect request that finds no slot is given back; before, it blocked the request until the retention. Conclusion: slow answers stay; a dead path is found 1.5 s after the last acknowledgement.

--- a/keelguard/silence.go
+++ b/keelguard/silence.go
@@ -36,7 +36,8 @@
 // SilenceConfig sets the time limits of a [Silence].
 type SilenceConfig struct {
 	// Limit is how long a connection may stand still while something is
-	// expected of it, before a fresh connection is tried.
+	// expected of it, before a fresh connection is tried. It is to be longer
+	// than the one second that passes between keep-alive probes.
 	Limit time.Duration
 }
 
@@ -88,15 +89,29 @@
 	p.conns++
 }
 
-// Progress notes a sign of life of the other side: bytes, or acknowledgements
-// of bytes or of keep-alive probes. A slow transfer and a slow answer make
-// progress as long as the other side's system acknowledges.
-func (s *Silence) Progress(now time.Time, id ConnID) {
-	if c, ok := s.conns[id]; ok {
-		c.progress = now
+// Progress notes a sign of life of the other side at a time: bytes, or
+// acknowledgements of bytes or of keep-alive probes. A slow transfer and a slow
+// answer make progress as long as the other side's system acknowledges.
+func (s *Silence) Progress(at time.Time, id ConnID) {
+	if c, ok := s.conns[id]; ok && at.After(c.progress) {
+		c.progress = at
 	}
 }
 
+// Doubtful lists the connections that have stood still for half the limit while
+// something is expected of them. Before [Silence.Check] their last
+// acknowledgement, as [Heard] tells it, is to be noted by [Silence.Progress].
+func (s *Silence) Doubtful(now time.Time) []ConnID {
+	var out []ConnID
+	for id, c := range s.conns {
+		if since, _ := s.still(now, c); !since.IsZero() && now.Sub(since) > s.cfg.Limit/2 {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Waiting notes how many more bytes the other side owes at least; 0 means that
 // nothing is expected.
 func (s *Silence) Waiting(now time.Time, id ConnID, expected int) {
--- a/keelguard/silence_test.go
+++ b/keelguard/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -92,6 +93,41 @@
 	}
 }
 
+func TestDoubtful(t *testing.T) {
+	is := is.New(t)
+	s := keelguard.NewSilence(keelguard.SilenceConfig{Limit: silenceLimit})
+	for id := range keelguard.ConnID(3) {
+		s.Opened(seconds(0), id, "a", seconds(0))
+	}
+	s.Waiting(seconds(20), 1, 1)
+	s.Waiting(seconds(20.4), 2, 1)
+	is.Equal(s.Doubtful(seconds(20.5)), nil)
+	is.Equal(s.Doubtful(seconds(20.6)), []keelguard.ConnID{1})
+	s.Progress(seconds(20.55), 1) // acknowledged a keep-alive probe
+	s.Progress(seconds(19), 1)    // old news
+	is.Equal(s.Doubtful(seconds(21)), []keelguard.ConnID{2})
+	is.Equal(len(s.Check(seconds(21.5))), 1)
+}
+
+// TestHeard asks a connection whose other side takes long to answer.
+func TestHeard(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("request"))
+	is.NoErr(err)
+	age, err := keelguard.Heard(c.(*net.TCPConn))
+	is.NoErr(err)
+	is.True(age >= 0 && age < time.Hour)
+	is.NoErr(c.Close())
+	_, err = keelguard.Heard(c.(*net.TCPConn))
+	is.True(err != nil) // closed
+}
+
 func describe(actions []keelguard.Action) []string {
 	var out []string
 	for _, a := range actions {
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -134,6 +135,18 @@
 	}
 }
 
+// Socket returns the socket of the connection with that id.
+func (c *EndpointClient) Socket(id uint64) (syscall.Conn, bool) {
+	c.mu.Lock()
+	conn := c.open[id]
+	c.mu.Unlock()
+	if conn == nil {
+		return nil, false
+	}
+	socket, ok := conn.nc.(syscall.Conn)
+	return socket, ok
+}
+
 // Forget closes the unused connections to an address.
 func (c *EndpointClient) Forget(addr netip.AddrPort) {
 	c.mu.Lock()
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -158,6 +158,7 @@
 		}
 		t, refusal := pl.acquire(ctx, item)
 		if refusal != nil {
+			e.cfg.Guard.NotStarted(keelguard.ID(r.Fingerprint))
 			return nil, refusal
 		}
 		answer, err := e.dispatch(ctx, pl, t, r)
--- a/keelsteer/silence.go
+++ b/keelsteer/silence.go
@@ -12,7 +12,7 @@
 
 // Limits of silent connections.
 const (
-	silenceLimit  = time.Second
+	silenceLimit  = 1500 * time.Millisecond
 	silencePeriod = 100 * time.Millisecond
 )
 
@@ -86,7 +86,29 @@
 	}
 }
 
+// ask notes what the operating system heard on connections in doubt, so that an
+// endpoint which takes long to answer is told from a dead path.
+func (w *silenceWatch) ask(now time.Time) {
+	w.mu.Lock()
+	doubtful := w.core.Doubtful(now)
+	w.mu.Unlock()
+	for _, id := range doubtful {
+		socket, ok := w.client.Socket(uint64(id))
+		if !ok {
+			continue
+		}
+		age, err := keelguard.Heard(socket)
+		if err != nil {
+			continue // closed meanwhile
+		}
+		w.mu.Lock()
+		w.core.Progress(now.Add(-age), id)
+		w.mu.Unlock()
+	}
+}
+
 func (w *silenceWatch) check(ctx context.Context, now time.Time) {
+	w.ask(now)
 	w.mu.Lock()
 	actions := w.core.Check(now)
 	w.mu.Unlock()
