keelroute: bulk and patient traffic share 40 % of a link in the loop

Cause: in the event loop, all traffic of a link went through one line, so that a live read waited behind uploads of 2 MB. Change: each transfer takes bytes as it needs them, and selectors that are not urgent have a link share (LinkBudget.TakeFor).

--- a/keelroute/load_test.go
+++ b/keelroute/load_test.go
@@ -112,6 +112,9 @@
 	expireEvery = 10 * time.Millisecond
 )
 
+// bulkLinkPercent is the link share of selectors that are not urgent.
+const bulkLinkPercent = 40
+
 // sim is the event loop over the cores.
 type sim struct {
 	dep       deployment
@@ -158,6 +161,11 @@
 			s.links[a][b].budget = keeladmit.NewLinkBudget(keeladmit.LinkConfig{Instances: 1, Link: keel.Link{
 				From: regionName(a), To: regionName(b), MegabitsPerSecond: dep.linkBytes * 8 / 1e6, ReservePercent: 5,
 			}})
+			for _, w := range dep.services {
+				if w.class == keel.ClassBulk || w.class == keel.ClassPatient {
+					s.links[a][b].budget.SetShare(keel.SelectorName(w.name), bulkLinkPercent)
+				}
+			}
 		}
 	}
 	return s
@@ -243,8 +251,9 @@
 	p.bySource[r.source]++
 	p.inside[r.id] = r
 	r.generation = p.generation
-	delay := s.transfer(r, from, to, s.dep.services[svc].bodyBytes)
-	s.after(delay+s.trip(r)/2, func() { s.offer(r) })
+	s.transfer(r, from, to, s.dep.services[svc].bodyBytes, func() {
+		s.after(s.trip(r)/2, func() { s.offer(r) })
+	})
 }
 
 // entryFor draws a live entry instance of the caller's region by weight, or of
@@ -284,26 +293,25 @@
 	}
 }
 
-// transfer returns how long bytes take over a link beside its round trip.
-func (s *sim) transfer(_ *request, from, to, bytes int) time.Duration {
-	if from == to {
-		return 0
-	}
+// transfer sends bytes over a link, beside its round trip, and then calls then.
+func (s *sim) transfer(r *request, from, to, bytes int, then func()) {
 	l := &s.links[from][to]
-	if s.steer.budgets() {
-		at := max(l.free, s.now)
-		for left := bytes; left > 0; {
-			n, wait := l.budget.Take(epoch.Add(at), left)
-			s.countBytes(l, at, n)
-			left -= n
-			at += wait
+	switch {
+	case from == to:
+		then()
+	case s.steer.budgets():
+		n, wait := l.budget.TakeFor(s.clock(), keel.SelectorName(s.dep.services[r.svc].name), bytes)
+		s.countBytes(l, s.now, n)
+		if n == bytes {
+			then()
+			return
 		}
-		l.free = at
-		return at - s.now
+		s.after(wait, func() { s.transfer(r, from, to, bytes-n, then) })
+	default:
+		s.countBytes(l, s.now, bytes)
+		l.free = max(l.free, s.now) + time.Duration(float64(bytes)/s.dep.linkBytes*float64(time.Second))
+		s.at(l.free, then)
 	}
-	s.countBytes(l, s.now, bytes)
-	l.free = max(l.free, s.now) + time.Duration(float64(bytes)/s.dep.linkBytes*float64(time.Second))
-	return l.free - s.now
 }
 
 func (s *sim) countBytes(l *linkState, at time.Duration, n int) {
--- a/keelroute/pool_test.go
+++ b/keelroute/pool_test.go
@@ -149,8 +149,9 @@
 		s.end(r, endFailed)
 		return
 	}
-	delay := s.transfer(r, from, to, s.dep.services[r.svc].answerBytes)
-	s.after(delay+s.trip(r)/2, func() { s.end(r, endAnswered) })
+	s.transfer(r, from, to, s.dep.services[r.svc].answerBytes, func() {
+		s.after(s.trip(r)/2, func() { s.end(r, endAnswered) })
+	})
 }
 
 func (s *sim) startWaiting(p *pool) {
