keelroute: spread a caller block with much traffic over its part of the buckets

Cause: with caller blocks as keys, one bucket can hold far more than a thousandth of the traffic, and moving it would shift more than the cap. Change: keys are counted, and one with more than a bucket's part uses as many buckets as its part, in turn. Buckets start in one run per domain. Peek is for look-ups, which are no requests. Figures: of one caller with half of all requests and a lost domain with half of the shares under a cap of 10 %, two fifths are refused, not all or none.

--- a/keelroute/shares.go
+++ b/keelroute/shares.go
@@ -136,7 +136,9 @@
 
 // Pick returns the failure domain for a request of src. random is uniform over
 // uint64, or the hash of the caller's block, so that a caller stays where it
-// is. It returns false if src has no vector, or if the bucket's domain is lost
+// is. Requests of a key with more than a bucket's part of the traffic are spread
+// over as many buckets as their part, so that moving a bucket never moves more
+// than it counts for. It returns false if src has no vector, or if the bucket's domain is lost
 // and the cap does not let the bucket move yet; see [Shares.Refusal].
 func (s *Shares) Pick(now time.Time, src Source, random uint64) (keel.DomainName, bool) {
 	v, ok := s.vectors[src]
@@ -147,7 +149,16 @@
 		v.advance(now)
 	}
 	v.traffic.slot(now).requests++
-	return v.pick(bucketOf(random))
+	return v.pick(v.spread.count(random))
+}
+
+// Peek returns what Pick would return for a look-up. It counts no request.
+func (s *Shares) Peek(src Source, random uint64) (keel.DomainName, bool) {
+	v, ok := s.vectors[src]
+	if !ok {
+		return "", false
+	}
+	return v.pick(v.spread.bucket(random))
 }
 
 // Divert asks leave to send one request of src elsewhere than Pick said, as
@@ -260,5 +271,3 @@
 	}
 	return list
 }
-
-func bucketOf(random uint64) int { return int(random % Buckets) }
--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -57,11 +57,21 @@
 	is.Equal(share(s, "a"), 0.4)
 	refused := 0
 	for i := range uint64(keelroute.Buckets) {
-		if _, ok := s.Pick(epoch, gallery, i); !ok {
+		if _, ok := s.Peek(gallery, i); !ok {
 			refused++
 		}
 	}
 	is.Equal(refused, 400)
+	refused = 0
+	for range 10_000 { // one caller sends half of all requests
+		if _, ok := s.Pick(epoch, gallery, 900); !ok {
+			refused++
+		}
+		if _, ok := s.Pick(epoch, gallery, uint64(refused)); !ok {
+			refused++
+		}
+	}
+	is.True(refused > 7_000 && refused < 9_000) // still about two fifths
 	r := s.Refusal(epoch, gallery)
 	is.Equal(r.Verdict, keel.NotRun)
 	is.Equal(r.Reason, keel.ReasonShiftCap)
--- a/keelroute/vector.go
+++ b/keelroute/vector.go
@@ -22,6 +22,7 @@
 	down    []bool
 	ledger  ledger
 	traffic traffic
+	spread  spread
 	// diverted is when the last request was diverted.
 	diverted time.Time
 	// keep is the longest window that was ever in force. Older moves are
@@ -90,32 +91,18 @@
 	v.nextMove = time.Time{}
 }
 
-// fill assigns all buckets at once by the weights. Buckets of different domains
-// are mixed, so that neighbouring caller keys don't share a fate.
+// fill assigns all buckets at once by the weights, each domain's in one run, so
+// that most callers of a block that spans several buckets share a domain.
 func (v *vector) fill(weights []keel.DomainWeight) {
 	v.setTarget(weights)
-	left := slices.Clone(v.target)
-	for b := range v.bucket {
-		d := mostBehind(left, v.target)
-		left[d]--
-		v.bucket[b] = uint8(d)
-		v.have[d]++
-	}
-}
-
-// mostBehind returns the domain that has received the smallest part of its
-// target.
-func mostBehind(left, target []int) int {
-	best, most := 0, -1.0
-	for i := range left {
-		if left[i] <= 0 {
-			continue
-		}
-		if part := float64(left[i]) / float64(target[i]); part > most {
-			best, most = i, part
+	b := 0
+	for d, n := range v.target {
+		for range n {
+			v.bucket[b] = uint8(d)
+			b++
 		}
+		v.have[d] = n
 	}
-	return best
 }
 
 // allowance returns how many buckets may move now.
