keelclaim: holders pass former sets on

Cause: an instance that restarted after registration had changed knew only the present set of holders, so it claimed without a majority of the former one, in which the key may have been claimed before. Change: holders tell former sets to each other with the claims and to claimants with each vote; a claimant that learns of one asks again. The simulated instances now forget former sets when they restart, and the change replaces all holders but one or a few. Conclusion: a claim finds the former sets as long as one whole holder of the present set knows them.

--- a/keelclaim/bench_test.go
+++ b/keelclaim/bench_test.go
@@ -92,7 +92,7 @@
 	})
 	set := holderSet
 	set.SeenNew = true
-	h.SetHolders([]keelclaim.Set{set})
+	h.SetHolders(holderStart, []keelclaim.Set{set})
 	for i := range n {
 		a := keelclaim.Attempt{Instance: "k1", Incarnation: 1, Counter: uint64(i)}
 		h.Ask(holderStart, keelclaim.Ask{Key: keyOf(i), Attempt: a})
--- a/keelclaim/claim.go
+++ b/keelclaim/claim.go
@@ -36,6 +36,7 @@
 func (s *Service) plan(now time.Time, r Request) (ClaimantConfig, error) {
 	cfg := ClaimantConfig{
 		BodyHash:    r.BodyHash,
+		Memory:      s.memory(),
 		Deadline:    r.Deadline,
 		NextAttempt: s.nextAttempt,
 		Random:      s.random,
@@ -218,5 +219,6 @@
 }
 
 func (c *claimRun) grant(attempt Attempt, answer *Answer) *Grant {
+	c.cfg.Sets = c.claimant.Sets()
 	return &Grant{service: c.service, cfg: c.cfg, attempt: attempt, started: c.started, answer: answer}
 }
--- a/keelclaim/claimant.go
+++ b/keelclaim/claimant.go
@@ -16,7 +16,9 @@
 	Ticket   *TicketFacts
 	// Sets are the sets of holders in force. The claim needs a majority in
 	// each of them.
-	Sets     []Set
+	Sets []Set
+	// Memory is how long a former set counts.
+	Memory   time.Duration
 	Deadline time.Time
 	// NextAttempt returns an identity that no attempt had before.
 	NextAttempt func() Attempt
@@ -151,10 +153,26 @@
 	case c.machine.State() != stateAsking || r.Vote == nil:
 		return nil
 	}
+	var news bool
+	if c.cfg.Sets, news = addFormer(now, c.cfg.Sets, r.Vote.Former, c.cfg.Memory); news {
+		return c.askAgain(now)
+	}
 	c.ballot.count(from, r.Incarnation, *r.Vote)
 	return c.judge(now)
 }
 
+// askAgain ends a round that did not ask all holders.
+func (c *Claimant) askAgain(now time.Time) []ClaimAction {
+	actions := c.release()
+	c.fire(eventLost)
+	c.timer = now
+	return actions
+}
+
+// Sets returns the sets of holders that the claim counts, with those that the
+// claimant learnt of.
+func (c *Claimant) Sets() []Set { return c.cfg.Sets }
+
 // Failed notes that a holder could not be reached.
 func (c *Claimant) Failed(now time.Time, attempt Attempt, from keel.InstanceName) []ClaimAction {
 	switch {
--- a/keelclaim/holder.go
+++ b/keelclaim/holder.go
@@ -28,9 +28,12 @@
 // Holder keeps one instance's votes. It is not safe for use by several
 // goroutines.
 type Holder struct {
-	cfg     HolderConfig
-	sets    []holderSet
-	records map[KeyID]*record
+	cfg HolderConfig
+	// told holds the sets from the declarations, learnt the former ones that
+	// only other holders knew of, sets both.
+	told, learnt []Set
+	sets         []holderSet
+	records      map[KeyID]*record
 	// list holds the keys in the order of their last use. An entry whose seq
 	// is not that of its record is out of date.
 	list []listEntry
@@ -147,7 +150,7 @@
 
 func (h *Holder) grant(now time.Time) Vote {
 	h.stats.Granted++
-	return Vote{Type: VoteGranted, Fences: h.recentFences(now)}
+	return Vote{Type: VoteGranted, Fences: h.recentFences(now), Former: h.former(now)}
 }
 
 // askKnown answers an ask for a key or an attempt that the holder knows.
@@ -171,6 +174,7 @@
 		Mixed:    r.mixed,
 		Wait:     keel.Duration(max(0, r.deadline.Sub(now))),
 		Fences:   h.recentFences(now),
+		Former:   h.former(now),
 	}, true
 }
 
--- a/keelclaim/holder_test.go
+++ b/keelclaim/holder_test.go
@@ -24,7 +24,7 @@
 	})
 	set := holderSet
 	set.SeenNew = whole
-	h.SetHolders([]keelclaim.Set{set})
+	h.SetHolders(holderStart, []keelclaim.Set{set})
 	return h
 }
 
--- a/keelclaim/message.go
+++ b/keelclaim/message.go
@@ -139,6 +139,34 @@
 	Wait keel.Duration `cbor:"4,keyasint,omitempty"`
 	// Fences names the starts of holders whose earlier votes are void.
 	Fences []Fence `cbor:"5,keyasint,omitempty"`
+	// Former lists former sets, for a claimant that has not heard of them.
+	Former []FormerSet `cbor:"7,keyasint,omitempty"`
+}
+
+// FormerSet is a set of holders that was replaced within the retention.
+type FormerSet struct {
+	Holders []keel.InstanceName `cbor:"1,keyasint"`
+	// Age is the time since the set was replaced.
+	Age keel.Duration `cbor:"2,keyasint"`
+}
+
+// Limits of former sets.
+const (
+	maxFormerSets = 16
+	maxSetHolders = 64
+)
+
+func checkFormer(sets []FormerSet) keel.Faults {
+	var fs keel.Faults
+	if len(sets) > maxFormerSets {
+		fs.Add("former", "has %d sets, the limit is %d", len(sets), maxFormerSets)
+	}
+	for _, s := range sets {
+		if len(s.Holders) == 0 || len(s.Holders) > maxSetHolders || s.Age < 0 {
+			fs.Add("former", "has a set of %d holders and age %s", len(s.Holders), s.Age)
+		}
+	}
+	return fs
 }
 
 // Fence says that votes which a holder gave before a start of it are void.
@@ -157,6 +185,8 @@
 	// WholeIn lists the sets of which the holder knows every claim that may
 	// have been acted on.
 	WholeIn []SetTag `cbor:"5,keyasint,omitempty"`
+	// Former lists former sets, for a holder that has not heard of them.
+	Former []FormerSet `cbor:"6,keyasint,omitempty"`
 }
 
 // PageRecord is one claim without its recorded answer.
@@ -253,7 +283,11 @@
 	if r.Answer != nil {
 		fs.Under("answer", r.Answer.Check())
 	}
+	if r.Vote != nil {
+		fs.Under("vote", checkFormer(r.Vote.Former))
+	}
 	if r.Page != nil {
+		fs.Under("page", checkFormer(r.Page.Former))
 		fs.Under("page", checkRecords(r.Page.Records))
 	}
 	return fs
--- a/keelclaim/refill.go
+++ b/keelclaim/refill.go
@@ -64,8 +64,9 @@
 
 // SetHolders tells the sets of the holder's failure domain that are in force,
 // current and former ones.
-func (h *Holder) SetHolders(sets []Set) {
-	known := h.sets
+func (h *Holder) SetHolders(now time.Time, told []Set) {
+	h.told = told
+	sets, known := h.withLearnt(now), h.sets
 	h.sets = make([]holderSet, len(sets))
 	for i, s := range sets {
 		tag := s.Tag()
@@ -227,6 +228,7 @@
 	for _, f := range reply.Page.Fences {
 		h.raiseFence(now, f)
 	}
+	h.hearFormer(now, reply.Page.Former)
 	h.Push(now, Push{Records: reply.Page.Records})
 	if after != p.cursor {
 		return
@@ -254,7 +256,7 @@
 
 // page returns the claims after a position in the list.
 func (h *Holder) page(now time.Time, after uint64) Page {
-	page := Page{Next: after, Fences: h.recentFences(now), WholeIn: h.wholeIn(now)}
+	page := Page{Next: after, Fences: h.recentFences(now), WholeIn: h.wholeIn(now), Former: h.former(now)}
 	i := h.after(after)
 	for ; i < len(h.list) && len(page.Records) < pageRecords; i++ {
 		e := h.list[i]
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -158,7 +158,7 @@
 	sets := InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.memory())
 	lifted := s.cfg.BarrierLifted != nil && s.cfg.BarrierLifted()
 	s.mu.Lock()
-	s.holder.SetHolders(sets)
+	s.holder.SetHolders(now, sets)
 	s.holder.LiftBarrier(lifted)
 	s.holder.Expire(now)
 	old, phase := s.phase, s.holder.Phase(now)
--- a/keelclaim/simulation_test.go
+++ b/keelclaim/simulation_test.go
@@ -138,6 +138,10 @@
 	for i := range n.sets {
 		n.sets[i].SeenNew = n.sets[i].SeenNew && n.fresh
 	}
+	if !n.fresh {
+		// Only the present declarations are there after a restart.
+		n.sets = n.sets[:1]
+	}
 	n.fresh = false
 	n.up, n.pausedUntil = true, time.Time{}
 	n.starts = map[keel.InstanceName]uint64{n.name: n.incarnation}
@@ -150,13 +154,13 @@
 		Retention: simRetention, ClockSlack: simSlack,
 		MaxAnswerBytes: 1 << 10, MaxTotalBytes: limit,
 	})
-	n.holder.SetHolders(n.inForce())
+	n.holder.SetHolders(n.clock(), n.inForce())
 	n.after(n.sim.upTo(simRetry), n.tick)
 }
 
 // tick reads what the holder lost, and learns the others' starts.
 func (n *node) tick() {
-	n.holder.SetHolders(n.inForce())
+	n.holder.SetHolders(n.clock(), n.inForce())
 	refills := n.holder.Refills(n.clock())
 	for _, o := range n.sim.nodes {
 		if m, ok := refills[o.name]; ok {
@@ -252,6 +256,7 @@
 		BodyHash: body,
 		Ticket:   ticket,
 		Sets:     n.inForce(),
+		Memory:   simRetention + 2*simSlack,
 		Deadline: n.clock().Add(limit),
 		NextAttempt: func() keelclaim.Attempt {
 			n.counter++
@@ -424,11 +429,14 @@
 	}
 }
 
-// changeHolders replaces the first holder by the last instance. The instances
-// learn of it one after the other.
+// changeHolders replaces the first holders by the instances that were none. The
+// instances learn of it one after the other.
 func (s *simulation) changeHolders() {
 	names := s.nodes[0].sets[0].Holders
-	next := append(slices.Clone(names[1:]), s.nodes[len(s.nodes)-1].name)
+	next := slices.Clone(names[2:])
+	for _, n := range s.nodes[len(names):] {
+		next = append(next, n.name)
+	}
 	until := s.now
 	for _, n := range s.nodes {
 		s.at(s.upTo(3*time.Second), func() {
