keelinstance: one home for a suspect request in all failure domains

Cause: each failure domain had a home of its own for a fingerprint, so a suspect request could take a second endpoint in each of them at once. Change: the home is chosen among the registered instances of all domains. Conclusion: the second risk is taken once; a suspect whose home is cut off is refused as not run.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -182,7 +182,7 @@
 		Retention: claimRetention, MaxAnswerBytes: maxAnswerBytes, MaxTotalBytes: maxClaimBytes, Seed: in.self.Incarnation,
 	})
 	in.guard = keelguard.New(keelguard.Config{
-		Self: in.self, Transport: in.peer, Resolve: in.resolve, Peers: in.guardPeers, Homes: in.registeredHere,
+		Self: in.self, Transport: in.peer, Resolve: in.resolve, Peers: in.guardPeers, Homes: in.registered,
 		Lifted: in.lifted, Clock: clock, Log: in.log,
 	})
 	in.engine = keelsteer.New(keelsteer.Config{
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -163,6 +163,16 @@
 	return out
 }
 
+// registered returns the registered instances of all failure domains, among
+// which the homes of suspect requests are chosen.
+func (in *Instance) registered() []keel.InstanceName {
+	var out []keel.InstanceName
+	for _, r := range in.declarations().Instances {
+		out = append(out, r.Name)
+	}
+	return out
+}
+
 // guardPeers returns the instances that poison evidence is shared with: those
 // of the own failure domain and one of each other domain.
 func (in *Instance) guardPeers() []keel.InstanceName {
