--- a/keelload/load.go
+++ b/keelload/load.go
@@ -145,6 +145,12 @@
 	start := time.Now()
 	onlyUnrun := true
 	var o outcome
+	if err := l.takeTicket(ctx, r); err != nil {
+		o = outcome{kind: notRun, detail: err.Error()}
+		l.record.sent("", o)
+		l.record.ended("", o, true, 0, start)
+		return
+	}
 	for send := range r.spec.Sends {
 		o = l.send(ctx, r, send)
 		onlyUnrun = onlyUnrun && o.kind == notRun
@@ -161,11 +167,23 @@
 	l.record.ended(r.key(), o, onlyUnrun, now.Sub(start), now)
 }
 
+// takeTicket asks for the key of a request, if keys come from look-ups.
+func (l *Load) takeTicket(ctx context.Context, r *request) error {
+	if !r.spec.Tickets {
+		return nil
+	}
+	a, err := l.lookUp(ctx)
+	if err == nil {
+		r.ticket = a.Ticket
+	}
+	return err
+}
+
 func mayResend(r *request, o outcome) bool {
 	switch o.kind {
 	case notRun:
 		return true
-	case lost, mayHaveRun:
+	case lost, mayHaveRun, failed:
 		return r.resendable()
 	default:
 		return false
@@ -264,6 +282,9 @@
 	if got := resp.Header.Get(keelstandin.HeaderToken); got != token {
 		return outcome{kind: wrong, detail: "answer to " + token + " has status " + resp.Status + " and token " + strconv.Quote(got)}
 	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return outcome{kind: failed, detail: token + ": " + resp.Status}
+	}
 	if resp.Header.Get(keelstandin.HeaderChecksum) != keelstandin.Checksum(r.body) {
 		return outcome{kind: wrong, detail: "the endpoint got another body than that of " + token}
 	}
--- a/keelload/spec.go
+++ b/keelload/spec.go
@@ -37,6 +37,8 @@
 	Delay time.Duration
 	// Keyed gives each request a key, so that it runs at most once.
 	Keyed bool
+	// Tickets takes the keys from look-ups.
+	Tickets bool
 	// Requests is how many requests to send; 0 means until the load is stopped.
 	Requests int
 	// Callers is how many requests are under way at once.
@@ -77,6 +79,8 @@
 	spec   *Spec
 	number int
 	body   []byte
+	// ticket is the key if it came from a look-up.
+	ticket string
 }
 
 func (s *Spec) request(n int) *request {
@@ -101,6 +105,9 @@
 	if !r.spec.Keyed {
 		return ""
 	}
+	if r.ticket != "" {
+		return r.ticket
+	}
 	return fmt.Sprintf("%s-key-%d", r.spec.Name, r.number)
 }
 
--- a/keelload/tally.go
+++ b/keelload/tally.go
@@ -16,6 +16,8 @@
 	NotRun     int `json:"not_run"`
 	MayHaveRun int `json:"may_have_run"`
 	Ran        int `json:"ran"`
+	// Failed counts requests that the endpoint itself answered with an error.
+	Failed int `json:"failed"`
 	// Lost counts requests whose last send broke off or got no answer.
 	Lost int `json:"lost"`
 	// Wrong counts answers that belong to another request or are damaged.
@@ -28,7 +30,7 @@
 	Slowest keel.Duration `json:"slowest"`
 	// LongestGap is the longest time without an answer.
 	LongestGap keel.Duration `json:"longest_gap"`
-	// Details holds the first few texts of what was not answered.
+	// Details holds the first few texts of sends that were not answered.
 	Details []string `json:"details,omitempty"`
 
 	lastAnswer time.Time
@@ -45,6 +47,7 @@
 	notRun
 	mayHaveRun
 	ran
+	failed
 	lost
 	wrong
 )
@@ -70,6 +73,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tally.Sends++
+	if o.kind != answered && len(r.tally.Details) < maxDetails {
+		r.tally.Details = append(r.tally.Details, o.detail)
+	}
 	if o.kind == notRun && token != "" {
 		r.unrun = append(r.unrun, token)
 	}
@@ -88,9 +94,6 @@
 		r.unkeys = append(r.unkeys, key)
 	}
 	if o.kind != answered {
-		if len(t.Details) < maxDetails {
-			t.Details = append(t.Details, o.detail)
-		}
 		return
 	}
 	if t.ByDomain == nil {
@@ -119,6 +122,8 @@
 		return &t.MayHaveRun
 	case ran:
 		return &t.Ran
+	case failed:
+		return &t.Failed
 	case wrong:
 		return &t.Wrong
 	default:
--- a/keelscenario/endpoint.go
+++ b/keelscenario/endpoint.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -82,6 +83,14 @@
 	return counts, data
 }
 
+// cmdRemember sets a variable to a count of an endpoint.
+func cmdRemember(c *cluster, args []string) {
+	_, doc := c.counts(c.endpoint(args[1]))
+	_, seen, err := condition{path: args[2], op: "!=", want: ""}.holds(doc)
+	c.check(err)
+	c.ts.Setenv(args[0], seen)
+}
+
 // cmdCount waits until the counts of an endpoint meet a condition.
 func cmdCount(c *cluster, args []string) {
 	e := c.endpoint(args[0])
@@ -93,3 +102,13 @@
 		return ok, seen
 	})
 }
+
+// cmdCrashes compares how often all endpoints have crashed.
+func cmdCrashes(c *cluster, args []string) {
+	total := 0
+	for _, e := range c.endpoints {
+		counts, _ := c.counts(e)
+		total += counts.Crashes
+	}
+	c.expect("crashes", condition{".", args[0], args[1]}, []byte(strconv.Itoa(total)))
+}
--- a/keelscenario/instance.go
+++ b/keelscenario/instance.go
@@ -215,3 +215,21 @@
 		c.check(c.client(in).Heal(c.ctx))
 	}
 }
+
+// cmdCutRest cuts an instance off from all others.
+func cmdCutRest(c *cluster, args []string) {
+	for _, in := range c.running() {
+		if in.name != args[0] {
+			cmdCut(c, []string{args[0], "-", in.name})
+		}
+	}
+}
+
+// cmdMute drops what an instance sends to all others.
+func cmdMute(c *cluster, args []string) {
+	for _, in := range c.running() {
+		if in.name != args[0] {
+			cmdCutOneWay(c, []string{args[0], in.name})
+		}
+	}
+}
--- a/keelscenario/state.go
+++ b/keelscenario/state.go
@@ -140,7 +140,7 @@
 	}
 }
 
-func cmdWait(c *cluster, args []string) {
+func cmdUntil(c *cluster, args []string) {
 	in := c.instance(args[0])
 	q := parseCondition(args[1:])
 	c.until("until "+in.name+" "+q.String(), func() (bool, string) {
--- a/keelscenario/traffic.go
+++ b/keelscenario/traffic.go
@@ -75,7 +75,7 @@
 	case "timeout":
 		s.Timeout = c.duration(value)
 	case "keyed":
-		s.Keyed = value == "true"
+		s.Keyed, s.Tickets = true, value == "ticket"
 	case "chunked":
 		s.Chunked = value == "true"
 	case "at":
--- a/keelstandin/serve.go
+++ b/keelstandin/serve.go
@@ -106,6 +106,7 @@
 	if b.Shed {
 		e.counter.change(func(n *Counts) { n.Shed++ })
 		ctx.Error("shedding load", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.SetBytesV(HeaderToken, ctx.Request.Header.Peek(HeaderToken))
 		return
 	}
 	e.counter.enter()
