scenario: any voter may lead after the second loss, poison requests

The script named the voter that has to lead after the other two were lost and repaired; the third voter may lead as well, so the script failed when it won the election. It now asks for any leader and for the same versions.

--- a/keelscenario/change.go
+++ b/keelscenario/change.go
@@ -87,9 +87,16 @@
 }
 
 // cmdResend submits a change with a known id again, made against version 0, and
-// prints the outcome, which has to be the recorded one.
+// prints the outcome, which has to be the recorded one. It asks again while no
+// leader can answer.
 func cmdResend(c *cluster, args []string) {
-	o, err := c.client(c.instance(args[0])).Submit(c.ctx, labelChange(keel.ChangeID(args[1]), 0, "resend"))
-	c.check(err)
-	fmt.Fprintf(c.ts.Stdout(), "%s %d\n", o.Status, o.Version)
+	client := c.client(c.instance(args[0]))
+	c.until("outcome of "+args[1], func() (bool, string) {
+		o, err := client.Submit(c.ctx, labelChange(keel.ChangeID(args[1]), 0, "resend"))
+		if err != nil {
+			return false, err.Error()
+		}
+		fmt.Fprintf(c.ts.Stdout(), "%s %d\n", o.Status, o.Version)
+		return true, ""
+	})
 }
