--- a/keelcommand/calls.go
+++ b/keelcommand/calls.go
@@ -22,9 +22,9 @@
 	return &cli.Command{
 		Name:        "lookup",
 		Usage:       "ask which instances to use for a service",
-		Description: "Example: greengagekeel lookup --caller 127.0.0.1:7401 --service gallery",
+		Description: "Example: greengagekeel lookup --caller 127.0.0.1:7411 --service gallery",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "caller", Usage: "`ADDRESS` of an instance's caller port", Value: "127.0.0.1:7401"},
+			&cli.StringFlag{Name: "caller", Usage: "`ADDRESS` of an instance's caller port", Value: "127.0.0.1:7411"},
 			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service", Required: true},
 			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request to come", Value: "/"},
 			&cli.StringFlag{Name: "method", Usage: "`METHOD` of the request to come", Value: http.MethodGet},
@@ -61,7 +61,7 @@
 	return &cli.Command{
 		Name:        "dump",
 		Usage:       "print the state of an instance as JSON",
-		Description: "Example: greengagekeel dump --operator 127.0.0.1:7403 --section steering",
+		Description: "Example: greengagekeel dump --operator 127.0.0.1:7413 --section steering",
 		Flags:       append(operatorFlags(), &cli.StringFlag{Name: "section", Usage: "print only this `PART`"}),
 		Action:      dump,
 	}
--- a/keelcommand/command.go
+++ b/keelcommand/command.go
@@ -118,7 +118,7 @@
 
 func operatorFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: flagOperator, Usage: "`ADDRESS` of an instance's operator port", Value: "127.0.0.1:7403", Sources: cli.EnvVars("KEEL_OPERATOR")},
+		&cli.StringFlag{Name: flagOperator, Usage: "`ADDRESS` of an instance's operator port", Value: "127.0.0.1:7413", Sources: cli.EnvVars("KEEL_OPERATOR")},
 		&cli.StringFlag{Name: flagToken, Usage: "`FILE` with the operator token", Sources: cli.EnvVars("KEEL_TOKEN_FILE")},
 		&cli.DurationFlag{Name: flagTimeout, Usage: "time limit", Value: defaultTimeout},
 		outputFlag(),
@@ -139,7 +139,7 @@
 func parseAddress(name, text string) (netip.AddrPort, error) {
 	ap, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return ap, fail(ExitUsage, errors.Errorf("--%s: %q is not an IP address and port", name, text), "write it like 127.0.0.1:7403")
+		return ap, fail(ExitUsage, errors.Errorf("--%s: %q is not an IP address and port", name, text), "write it like 127.0.0.1:7413")
 	}
 	return ap, nil
 }
--- a/keelcommand/standin.go
+++ b/keelcommand/standin.go
@@ -17,7 +17,7 @@
 	return &cli.Command{
 		Name:        "stand-in",
 		Usage:       "run an endpoint for demonstrations and tests",
-		Description: "Example: greengagekeel stand-in --service gallery --name g1 --announce-to 127.0.0.1:7402",
+		Description: "Example: greengagekeel stand-in --service gallery --name g1 --announce-to 127.0.0.1:7412",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service", Required: true},
 			&cli.StringFlag{Name: "name", Usage: "`NAME` of the endpoint", Required: true},
