--- /dev/null
+++ b/keelinstance/bench_test.go
@@ -0,0 +1,185 @@
+package keelinstance_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelconfig"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
+	"github.com/greengagekeel/greengagekeel/keelinstance"
+	"github.com/greengagekeel/greengagekeel/keelkey"
+	"github.com/greengagekeel/greengagekeel/keeloperate"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// BenchmarkProxy compares a request through the instance that owns the endpoint
+// with one through a bare proxy and one straight to the endpoint. Callers, proxy
+// and endpoint share the process, so that the processor time of a proxy is the
+// difference of cpu-us/op to direct.
+func BenchmarkProxy(b *testing.B) {
+	endpoint := serveEndpoint(b)
+	variants := []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{"direct", endpoint},
+		{"bare", serveBareProxy(b, endpoint)},
+		{"instance", serveInstance(b, endpoint)},
+	}
+	for _, conns := range []int{1, 64, 700} {
+		for _, v := range variants {
+			b.Run(fmt.Sprintf("%s/conns=%d", v.name, conns), func(b *testing.B) { benchmarkRequests(b, v.addr, conns) })
+		}
+	}
+}
+
+func serveHTTP(b *testing.B, h fasthttp.RequestHandler) netip.AddrPort {
+	ln, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true}
+	b.Cleanup(func() { _ = ln.Close() })
+	go s.Serve(ln) //nolint:errcheck // ends with the listener
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func serveEndpoint(b *testing.B) netip.AddrPort {
+	body := make([]byte, 1024)
+	return serveHTTP(b, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.SetBytesV(keelproxy.HeaderRequestID, ctx.Request.Header.Peek(keelproxy.HeaderRequestID))
+		ctx.SetBody(body)
+	})
+}
+
+func serveBareProxy(b *testing.B, endpoint netip.AddrPort) netip.AddrPort {
+	c := &fasthttp.HostClient{Addr: endpoint.String(), MaxConns: 4096}
+	return serveHTTP(b, func(ctx *fasthttp.RequestCtx) {
+		if err := c.Do(&ctx.Request, &ctx.Response); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadGateway)
+		}
+	})
+}
+
+func serveInstance(b *testing.B, endpoint netip.AddrPort) netip.AddrPort {
+	keys, err := keelkey.Ephemeral("a-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := keelconfig.Default()
+	s.Instance, s.Domain, s.Region = "a-1", "a", "r"
+	s.Listen = keelconfig.Listen{Caller: loopback, Endpoint: loopback, Operator: loopback, Peer: loopback}
+	s.DataDir, s.Voter, s.Voters = b.TempDir(), true, []keel.InstanceName{"a-1"}
+	in, err := keelinstance.New(keelinstance.Config{Settings: &s, Keys: keys["a-1"], Log: log})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = in.Run(ctx) })
+	b.Cleanup(func() { cancel(); wg.Wait() })
+	declareOne(b, in, keys["a-1"].OperatorToken(), endpoint)
+	return in.Addresses().Caller
+}
+
+func declareOne(b *testing.B, in *keelinstance.Instance, token string, endpoint netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	d := &keel.Declarations{
+		Regions:   []keel.Region{{Name: "r"}},
+		Domains:   []keel.FailureDomain{{Name: "a", Region: "r"}},
+		Services:  []keel.Service{{Name: "s", AnnounceFrom: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}},
+		Instances: []keel.RegisteredInstance{{Name: "a-1", Domain: "a"}},
+		Selectors: []keel.Selector{{
+			Name: "s", Service: "s", Class: keel.ClassLive, Deadline: keel.Duration(10 * time.Second),
+			Cap: keel.ShiftCap{Percent: 10, Window: keel.Duration(10 * time.Second)},
+		}},
+	}
+	client := keeloperate.Client{Address: in.Addresses().Operator, Token: token}
+	_, err := client.Submit(ctx, keel.Change{ID: "first", Author: "bench", Ops: keeldeclare.Diff(&keel.Declarations{}, d)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	body := fmt.Sprintf(`{"service":"s","name":"e","address":%q,"slots":2000,"incarnation":1,"state":"serving","ttl":"1m"}`, endpoint)
+	for {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + in.Addresses().Endpoint.String() + "/v1/endpoints/announce")
+		req.Header.SetMethod("POST")
+		req.SetBodyString(body)
+		_ = fasthttp.Do(req, resp)
+		req.SetRequestURI("http://" + in.Addresses().Caller.String() + "/")
+		req.Header.SetMethod("GET")
+		req.ResetBody()
+		req.Header.Set(keelproxy.HeaderService, "s")
+		if fasthttp.Do(req, resp) == nil && resp.StatusCode() == fasthttp.StatusOK {
+			return
+		}
+		if ctx.Err() != nil {
+			b.Fatalf("instance does not serve: %d %s", resp.StatusCode(), resp.Body())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func benchmarkRequests(b *testing.B, addr netip.AddrPort, conns int) {
+	c := &fasthttp.HostClient{Addr: addr.String(), MaxConns: conns}
+	var (
+		wg sync.WaitGroup
+		mu sync.Mutex
+	)
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	b.ResetTimer()
+	before := cpuTime()
+	for w := range conns {
+		share := b.N / conns
+		if w < b.N%conns {
+			share++
+		}
+		wg.Go(func() {
+			own := hdrhistogram.New(1, 60_000_000, 3)
+			sendAll(b, c, share, own)
+			mu.Lock()
+			defer mu.Unlock()
+			hist.Merge(own)
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99)), "p99-us")
+}
+
+func sendAll(b *testing.B, c *fasthttp.HostClient, n int, hist *hdrhistogram.Histogram) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + c.Addr + "/")
+	req.Header.Set(keelproxy.HeaderService, "s")
+	for range n {
+		start := time.Now()
+		if err := c.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+			b.Errorf("status %d, error %v, body %s", resp.StatusCode(), err, resp.Body())
+			return
+		}
+		_ = hist.RecordValue(time.Since(start).Microseconds())
+	}
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
