--- a/keelinstance/bench_test.go
+++ b/keelinstance/bench_test.go
@@ -116,24 +116,27 @@
 		b.Fatal(err)
 	}
 	body := fmt.Sprintf(`{"service":"s","name":"e","address":%q,"slots":2000,"incarnation":1,"state":"serving","ttl":"1m"}`, endpoint)
-	for {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		req.SetRequestURI("http://" + in.Addresses().Endpoint.String() + "/v1/endpoints/announce")
-		req.Header.SetMethod("POST")
-		req.SetBodyString(body)
-		_ = fasthttp.Do(req, resp)
-		req.SetRequestURI("http://" + in.Addresses().Caller.String() + "/")
-		req.Header.SetMethod("GET")
-		req.ResetBody()
-		req.Header.Set(keelproxy.HeaderService, "s")
-		if fasthttp.Do(req, resp) == nil && resp.StatusCode() == fasthttp.StatusOK {
+	announce := "http://" + in.Addresses().Endpoint.String() + "/v1/endpoints/announce"
+	for ctx.Err() == nil {
+		call(announce, "POST", body)
+		if call("http://"+in.Addresses().Caller.String()+"/", "GET", "") == fasthttp.StatusOK {
 			return
 		}
-		if ctx.Err() != nil {
-			b.Fatalf("instance does not serve: %d %s", resp.StatusCode(), resp.Body())
-		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	b.Fatal("the instance does not serve")
+}
+
+func call(uri, method, body string) int {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI(uri)
+	req.Header.SetMethod(method)
+	req.Header.Set(keelproxy.HeaderService, "s")
+	req.SetBodyString(body)
+	if fasthttp.DoTimeout(req, resp, time.Second) != nil {
+		return 0
+	}
+	return resp.StatusCode()
 }
 
 func benchmarkRequests(b *testing.B, addr netip.AddrPort, conns int) {
