keelsteer: compare endpoints within a service, keep suspects' endpoints

Cause: one ejector compared endpoints of all services, so that a slow service was ejected as a whole; a retry waited for the one endpoint that it had to avoid; a missed heartbeat moved ownership for two leases. Change: an ejector for each pool; no wait where no other endpoint is left; ownership moves only when an instance is given up.

--- a/keeldemo/demo.go
+++ b/keeldemo/demo.go
@@ -39,7 +39,6 @@
 const (
 	startTimeout  = 20 * time.Second
 	settleTimeout = 20 * time.Second
-	pollPause     = 20 * time.Millisecond
 )
 
 // demo is one demonstration.
@@ -67,14 +66,14 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer cancel()
-	d.system.run(ctx, &group)
+	d.system.Run(ctx, &group)
 	return d.show(ctx, &group)
 }
 
 func (d *demo) show(ctx context.Context, group *conc.WaitGroup) (*Report, error) {
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := d.system.declare(startCtx, d.cfg.Declarations); err != nil {
+	if err := d.system.Declare(startCtx, d.cfg.Declarations); err != nil {
 		return nil, err
 	}
 	if err := d.system.runEndpoints(ctx, group); err != nil {
--- a/keeldemo/load.go
+++ b/keeldemo/load.go
@@ -147,7 +147,7 @@
 
 func (s *system) callerAddrs() []netip.AddrPort {
 	var out []netip.AddrPort
-	for _, in := range s.instances {
+	for _, in := range s.Instances {
 		out = append(out, in.Addresses().Caller)
 	}
 	return out
--- a/keelinstance/bench_test.go
+++ b/keelinstance/bench_test.go
@@ -13,13 +13,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	keel "github.com/greengagekeel/greengagekeel"
-	"github.com/greengagekeel/greengagekeel/keelconfig"
-	"github.com/greengagekeel/greengagekeel/keeldeclare"
-	"github.com/greengagekeel/greengagekeel/keelinstance"
-	"github.com/greengagekeel/greengagekeel/keelkey"
-	"github.com/greengagekeel/greengagekeel/keeloperate"
+	"github.com/greengagekeel/greengagekeel/keellocal"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 )
 
@@ -75,32 +72,26 @@
 }
 
 func serveInstance(b *testing.B, endpoint netip.AddrPort) netip.AddrPort {
-	keys, err := keelkey.Ephemeral("a-1")
-	if err != nil {
-		b.Fatal(err)
-	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := keelconfig.Default()
-	s.Instance, s.Domain, s.Region = "a-1", "a", "r"
-	s.Listen = keelconfig.Listen{Caller: loopback, Endpoint: loopback, Operator: loopback, Peer: loopback}
-	s.DataDir, s.Voter, s.Voters = b.TempDir(), true, []keel.InstanceName{"a-1"}
-	in, err := keelinstance.New(keelinstance.Config{Settings: &s, Keys: keys["a-1"], Log: log})
+	system, err := keellocal.New(keellocal.Config{
+		Places: []keellocal.Place{{Name: "a-1", Domain: "a", Region: "r", Voter: true}}, Dir: b.TempDir(), Log: log,
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = in.Run(ctx) })
-	b.Cleanup(func() { cancel(); wg.Wait() })
-	declareOne(b, in, keys["a-1"].OperatorToken(), endpoint)
-	return in.Addresses().Caller
+	var group conc.WaitGroup
+	system.Run(ctx, &group)
+	b.Cleanup(func() { cancel(); group.Wait() })
+	declareOne(b, system, endpoint)
+	return system.Instances[0].Addresses().Caller
 }
 
-func declareOne(b *testing.B, in *keelinstance.Instance, token string, endpoint netip.AddrPort) {
+func declareOne(b *testing.B, system *keellocal.System, endpoint netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	d := &keel.Declarations{
+	err := system.Declare(ctx, &keel.Declarations{
 		Regions:   []keel.Region{{Name: "r"}},
 		Domains:   []keel.FailureDomain{{Name: "a", Region: "r"}},
 		Services:  []keel.Service{{Name: "s", AnnounceFrom: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}},
@@ -109,12 +100,11 @@
 			Name: "s", Service: "s", Class: keel.ClassLive, Deadline: keel.Duration(10 * time.Second),
 			Cap: keel.ShiftCap{Percent: 10, Window: keel.Duration(10 * time.Second)},
 		}},
-	}
-	client := keeloperate.Client{Address: in.Addresses().Operator, Token: token}
-	_, err := client.Submit(ctx, keel.Change{ID: "first", Author: "bench", Ops: keeldeclare.Diff(&keel.Declarations{}, d)})
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
+	in := system.Instances[0]
 	body := fmt.Sprintf(`{"service":"s","name":"e","address":%q,"slots":2000,"incarnation":1,"state":"serving","ttl":"1m"}`, endpoint)
 	announce := "http://" + in.Addresses().Endpoint.String() + "/v1/endpoints/announce"
 	for ctx.Err() == nil {
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -111,7 +111,7 @@
 		out.Stale = true
 	}
 	own := keelsteer.Domain{Name: in.self.Domain}
-	own.Members = membersOf(now, v.Members(in.self.Domain))
+	own.Members = membersOf(now, present(v.Domain))
 	out.Domains = append(out.Domains, own)
 	for _, d := range v.Domains() {
 		out.Domains = append(out.Domains, keelsteer.Domain{
@@ -124,12 +124,25 @@
 	return out
 }
 
+// present returns the members that are not given up.
+func present(members []keelmember.Member) []keelmember.Member {
+	var out []keelmember.Member
+	for _, m := range members {
+		switch m.State {
+		case keelmember.StateAlive, keelmember.StateSuspect, keelmember.StateLeaving:
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 func membersOf(now time.Time, members []keelmember.Member) []keelsteer.Member {
 	out := make([]keelsteer.Member, 0, len(members))
 	for _, m := range members {
 		out = append(out, keelsteer.Member{
 			Instance: m.Instance,
 			Leaving:  m.State == keelmember.StateLeaving,
+			Suspect:  m.State == keelmember.StateSuspect,
 			Rooms:    roomsOf(m.Room),
 			Age:      keel.Duration(now.Sub(m.Heard)),
 		})
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -53,20 +53,7 @@
 }
 
 func (x *dispatched) end(o keeladmit.Outcome) {
-	x.once.Do(func() {
-		elapsed := time.Since(x.start)
-		x.pool.release(x.target.ID, o, elapsed)
-		if o == keeladmit.OutcomeCancelled {
-			return
-		}
-		x.e.observe(x.target.ID, o == keeladmit.OutcomeOK, elapsed)
-	})
-}
-
-func (e *Engine) observe(id keel.EndpointID, ok bool, latency time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.eject.Observe(time.Now(), id, ok, latency)
+	x.once.Do(func() { x.pool.release(x.target.ID, o, time.Since(x.start)) })
 }
 
 // observedBody is the body of an endpoint's answer. It ends the request when it
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -165,13 +165,18 @@
 		if err == nil {
 			return answer, nil
 		}
-		if try == maxTries || !retry || !e.mayRetry(ctx, r, err, body.touched()) {
+		if try == maxTries || !retry || !pl.hasOther(t.ID.Name) || !e.mayRetry(ctx, r, err, body.touched()) {
 			return nil, err
 		}
 		item.Avoid = t.ID.Name
 	}
 }
 
+func avoided(sel *keel.Selector, name keel.EndpointName) *keel.Refusal {
+	return keel.Refuse(keel.NotRun, keel.ReasonNoEndpoint, planPeriod,
+		"the only endpoint for selector %q here is %q, which must not get this request again", sel.Name, name)
+}
+
 // guard asks whether the request may be dispatched and which endpoint it must
 // avoid. It reports whether the request may be dispatched again if it fails.
 func (e *Engine) guard(ctx context.Context, r *keelproxy.Request, item *keeladmit.Item) (retry bool, err error) {
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -107,7 +107,6 @@
 		owners:  keeladmit.NewOwners(keeladmit.OwnersConfig{Self: cfg.Self.Name}),
 		retry:   keeladmit.NewRetryBudget(retryPart),
 		ramp:    keelroute.NewRamp(keelroute.RampConfig{}),
-		eject:   keelroute.NewEjector(keelroute.EjectorConfig{}),
 		pools:   make(map[keel.ServiceName]*pool),
 		known:   make(map[keel.EndpointID]bool),
 		demand:  make(map[keelroute.Source]map[keel.DomainName]*load),
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -127,13 +127,11 @@
 		if !present[id] {
 			e.owners.Forget(id)
 			e.ramp.Remove(id)
-			e.eject.Remove(id)
 		}
 	}
 	for id := range present {
 		if !e.known[id] {
 			e.ramp.Started(now, id)
-			e.eject.Add(id)
 		}
 	}
 	e.known = present
@@ -149,6 +147,7 @@
 	}
 	if d := p.view.domain(self.Domain); d != nil {
 		for _, m := range d.Members {
+			// A suspect instance keeps its endpoints until it counts as dead.
 			if m.Instance.Name != self.Name && !m.Leaving && !p.drained(keel.TargetInstance, string(m.Instance.Name), nil) {
 				names = append(names, m.Instance.Name)
 			}
@@ -225,10 +224,9 @@
 	return owned{
 		state: keeladmit.EndpointState{
 			ID: id, Labels: labels, Slots: slots,
-			Ramp:         e.ramp.Part(now, id),
-			Reported:     a.Report,
-			ReportedAt:   p.entries[i].Heard,
-			EjectedUntil: e.eject.Until(id),
+			Ramp:       e.ramp.Part(now, id),
+			Reported:   a.Report,
+			ReportedAt: p.entries[i].Heard,
 		},
 		target: keelproxy.Target{ID: id, Address: a.Address, Domain: e.cfg.Self.Domain},
 		drain:  drain || slots == 0,
@@ -297,7 +295,7 @@
 func (p *plan) candidate(m Member) keellookup.Candidate {
 	c := keellookup.Candidate{
 		Instance: m.Instance,
-		Live:     true,
+		Live:     !m.Suspect,
 		Leaving:  m.Leaving || p.drained(keel.TargetInstance, string(m.Instance.Name), nil) || p.drained(keel.TargetDomain, string(m.Instance.Domain), nil),
 		Capacity: 1,
 	}
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -8,6 +8,7 @@
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keeladmit"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelroute"
 )
 
 // pool admits the requests of one service to the endpoints that this instance
@@ -17,7 +18,10 @@
 	queue   *keeladmit.Queue
 	waiters map[uint64]chan slot
 	targets map[keel.EndpointID]keelproxy.Target
-	nextID  uint64
+	// eject compares the endpoints of this pool only, since those of other
+	// services take other times.
+	eject  *keelroute.Ejector
+	nextID uint64
 }
 
 // slot is the right to run one request at an endpoint, or a refusal.
@@ -31,6 +35,7 @@
 		queue:   keeladmit.NewQueue(cfg),
 		waiters: make(map[uint64]chan slot),
 		targets: make(map[keel.EndpointID]keelproxy.Target),
+		eject:   keelroute.NewEjector(keelroute.EjectorConfig{}),
 	}
 }
 
@@ -93,6 +98,9 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.queue.Done(now, id, o, latency)
+	if o != keeladmit.OutcomeCancelled {
+		p.eject.Observe(now, id, o == keeladmit.OutcomeOK, latency)
+	}
 	p.startWaiting(now)
 }
 
@@ -141,7 +149,11 @@
 	kept := make(map[keel.EndpointID]bool, len(list))
 	for _, o := range list {
 		kept[o.state.ID] = true
+		if _, known := p.targets[o.state.ID]; !known {
+			p.eject.Add(o.state.ID)
+		}
 		p.targets[o.state.ID] = o.target
+		o.state.EjectedUntil = p.eject.Until(o.state.ID)
 		p.queue.SetEndpoint(now, o.state)
 		if o.drain {
 			p.queue.Drain(o.state.ID)
@@ -152,6 +164,7 @@
 			continue
 		}
 		p.queue.Remove(id)
+		p.eject.Remove(id)
 		if p.queue.InFlight(id) == 0 {
 			delete(p.targets, id)
 		}
@@ -195,6 +208,19 @@
 	return p.queue.InFlight(id)
 }
 
+// hasOther reports whether the pool has an endpoint besides one. The empty name
+// stands for none.
+func (p *pool) hasOther(than keel.EndpointName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.targets {
+		if id.Name != than {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pool) waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/keelsteer/view.go
+++ b/keelsteer/view.go
@@ -19,7 +19,9 @@
 type Member struct {
 	Instance keel.Instance `json:"instance"`
 	Leaving  bool          `json:"leaving,omitempty"`
-	Rooms    []Room        `json:"rooms,omitempty"`
+	// Suspect says that the instance was not heard lately but is not given up.
+	Suspect bool   `json:"suspect,omitempty"`
+	Rooms   []Room `json:"rooms,omitempty"`
 	// Age is the time since the instance was heard.
 	Age keel.Duration `json:"age"`
 }
