--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -156,6 +156,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if item.Avoid != "" && !pl.hasOther(item.Avoid) {
+			e.cfg.Guard.NotStarted(keelguard.ID(r.Fingerprint))
+			return nil, avoided(sel, item.Avoid)
+		}
 		t, refusal := pl.acquire(ctx, item)
 		if refusal != nil {
 			e.cfg.Guard.NotStarted(keelguard.ID(r.Fingerprint))
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -79,7 +79,6 @@
 	owners  *keeladmit.Owners
 	retry   *keeladmit.RetryBudget
 	ramp    *keelroute.Ramp
-	eject   *keelroute.Ejector
 	pools   map[keel.ServiceName]*pool
 	known   map[keel.EndpointID]bool
 	demand  map[keelroute.Source]map[keel.DomainName]*load
