keellookup: choose the three best without sorting

Cause: an answer sorted all candidates of a domain by a comparison with hashes. Change: the best three are kept while scoring; the caller's seed is made once.

--- a/keellookup/directory.go
+++ b/keellookup/directory.go
@@ -1,7 +1,6 @@
 package keellookup
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math"
 	"net/netip"
@@ -158,55 +157,78 @@
 	}
 }
 
-// addDomain appends the instances of one domain in the order of a weighted
-// rendezvous by caller address and time slot, owners of the service first.
+// ranked is a candidate with its place in the order of an answer.
+type ranked struct {
+	c     *Candidate
+	owns  bool
+	score float64
+}
+
+// before reports whether a comes before b: owners of the service first, then
+// the smaller score.
+func (a ranked) before(b ranked) bool {
+	if a.owns != b.owns {
+		return a.owns
+	}
+	return a.score < b.score
+}
+
+// addDomain appends the best instances of one domain that the answer does not
+// name yet, in the order of a weighted rendezvous by caller address and time
+// slot, owners of the service first.
 func (d *Directory) addDomain(a *Answer, q Query, domain keel.DomainName) {
-	if len(a.Instances) >= MaxInstances {
+	var best [MaxInstances]ranked
+	n, room := 0, MaxInstances-len(a.Instances)
+	if room <= 0 {
 		return
 	}
-	type scored struct {
-		c     *Candidate
-		owns  bool
-		score float64
-	}
-	list := d.byDomain[domain]
-	scores := make([]scored, 0, len(list))
-	for _, c := range list {
-		owns := slices.Contains(c.Owns, q.Service)
-		scores = append(scores, scored{c, owns, d.score(c, q)})
-	}
-	slices.SortFunc(scores, func(x, y scored) int {
-		if x.owns != y.owns {
-			return cmp.Compare(boolRank(y.owns), boolRank(x.owns))
-		}
-		return cmp.Compare(x.score, y.score)
-	})
-	for _, s := range scores {
-		if len(a.Instances) == MaxInstances {
-			return
-		}
-		if !slices.ContainsFunc(a.Instances, func(in keel.Instance) bool { return in.Name == s.c.Instance.Name }) {
-			a.Instances = append(a.Instances, s.c.Instance)
+	seed := d.seed(q)
+	for _, c := range d.byDomain[domain] {
+		if a.names(c.Instance.Name) {
+			continue
 		}
+		r := ranked{c, slices.Contains(c.Owns, q.Service), score(c, seed)}
+		n = insertRanked(best[:room], n, r)
+	}
+	for _, r := range best[:n] {
+		a.Instances = append(a.Instances, r.c.Instance)
 	}
 }
 
-func boolRank(b bool) int {
-	if b {
-		return 1
+// insertRanked puts r into its place among the first n of best and returns how
+// many there are then. The last one drops out if there is no space.
+func insertRanked(best []ranked, n int, r ranked) int {
+	i := n
+	for i > 0 && r.before(best[i-1]) {
+		i--
+	}
+	if i == len(best) {
+		return n
 	}
-	return 0
+	n = min(n+1, len(best))
+	copy(best[i+1:n], best[i:])
+	best[i] = r
+	return n
+}
+
+func (a *Answer) names(name keel.InstanceName) bool {
+	return slices.ContainsFunc(a.Instances, func(in keel.Instance) bool { return in.Name == name })
 }
 
 // minRoom keeps a full instance in the choice, since its report may be wrong.
 const minRoom = 0.05
 
+// seed is the same for a caller within a time slot.
+func (d *Directory) seed(q Query) uint64 {
+	slot := uint64(q.Now.UnixNano() / int64(d.cfg.Slot))
+	return mix(addrKey(q.Addr)^slot) ^ q.Random
+}
+
 // score is an exponential draw whose rate is the instance's room, so that the
 // smallest score falls on each instance in proportion to its room.
-func (d *Directory) score(c *Candidate, q Query) float64 {
+func score(c *Candidate, seed uint64) float64 {
 	room := max(c.Capacity, 1) * max(1-c.Busy, minRoom)
-	slot := uint64(q.Now.UnixNano() / int64(d.cfg.Slot))
-	h := mix(hashName(string(c.Instance.Name)) ^ mix(addrKey(q.Addr)^slot) ^ q.Random)
+	h := xxh3.HashStringSeed(string(c.Instance.Name), seed)
 	u := (float64(h>>11) + 1) / (1 << 53)
 	return -math.Log(u) / room
 }
@@ -232,8 +254,6 @@
 	return xxh3.Hash(b[:])
 }
 
-func hashName(s string) uint64 { return xxh3.HashString(s) }
-
 // mix spreads the bits of x over the whole number.
 func mix(x uint64) uint64 {
 	var b [8]byte
