keelmember: honest age of the voters' sign, steady cost at the target

Change: the sign carries its age and the version that its voter had in force (View.QuorumVersion); voters send it to two domains' shares every 2 to 4.6 s; heartbeat and digest steps are 75 and 400 ms, and a fetch from outside is paced at 4 KB/s.

--- a/keeldeclare/fetcher.go
+++ b/keeldeclare/fetcher.go
@@ -15,7 +15,7 @@
 const (
 	// defaultOutsideRate is the part of an instance's 19 KB a second that
 	// fetches from other failure domains may take, in bytes a second.
-	defaultOutsideRate = 6000
+	defaultOutsideRate = 4000
 	// insideBytes and outsideBytes are the sizes of responses that are asked
 	// for inside the failure domain and outside it.
 	insideBytes  = 256 << 10
@@ -34,7 +34,7 @@
 	Clock     clockwork.Clock
 	Log       *logrus.Entry
 	// OutsideBytesPerSecond paces fetches from other failure domains; 0 means
-	// 6,000.
+	// 4,000.
 	OutsideBytesPerSecond int
 }
 
--- a/keelmember/core.go
+++ b/keelmember/core.go
@@ -17,7 +17,7 @@
 	// small domain. In a larger one it is heartbeatPerMember times the number
 	// of members, so that the cost stays the same.
 	heartbeatPeriod    = time.Second
-	heartbeatPerMember = 60 * time.Millisecond
+	heartbeatPerMember = 75 * time.Millisecond
 	// heartbeatJitter is the largest part of a period that is taken off it at
 	// random, so that instances don't send in step.
 	heartbeatJitter = 0.2
@@ -37,7 +37,7 @@
 	representatives = 2
 	// digestStep is the least time between two digests of a representative, so
 	// that its cost does not rise with the number of domains.
-	digestStep = 300 * time.Millisecond
+	digestStep = 400 * time.Millisecond
 	// minDigestPeriod is the least time between two digests to one domain.
 	minDigestPeriod = time.Second
 	// relayPerMember times the number of members is the least time between two
@@ -46,6 +46,10 @@
 	// pushGap is the least time between two heartbeats or rounds of digests
 	// that a change of the version causes.
 	pushGap = 100 * time.Millisecond
+	// minSignPeriod and signPerDomain give the time between two signs of a
+	// working majority that a voter sends to a domain.
+	minSignPeriod = 2 * time.Second
+	signPerDomain = 100 * time.Millisecond
 	// pushersPerDomain is how many voters tell each domain of a new version.
 	pushersPerDomain = 2
 	joinPeriod       = time.Second
@@ -124,7 +128,7 @@
 	domains map[keel.DomainName]*domain
 	voters  map[keel.InstanceName]*voterSign
 	beacon  *Beacon
-	// quorumHeard is when a beacon last rose.
+	// quorumHeard is when the beacon was made.
 	quorumHeard time.Time
 	joined      bool // some member hears this incarnation
 	superseded  bool
@@ -134,6 +138,7 @@
 	lastPush      time.Time
 	pushDue       bool
 	nextDigest    time.Time
+	nextSign      time.Time
 	digestCursor  int
 	digestRound   int
 	nextHello     time.Time
@@ -180,6 +185,7 @@
 	c.expire()
 	c.hello()
 	c.beat()
+	c.sign()
 	c.digests()
 	return c.finish()
 }
@@ -266,6 +272,9 @@
 		QuorumHeard:     c.quorumHeard,
 		Superseded:      c.superseded,
 	}
+	if c.beacon != nil {
+		v.QuorumVersion = c.beacon.Version
+	}
 	v.Domain = append(v.Domain, c.selfMember())
 	for _, m := range c.members {
 		v.Domain = append(v.Domain, m.view())
--- a/keelmember/core_test.go
+++ b/keelmember/core_test.go
@@ -243,20 +243,22 @@
 	_, ok := s.nodes[10].core.View().Staleness(s.now)
 	is.True(!ok) // no voter has a majority
 	for _, n := range s.nodes {
-		n.local.QuorumBacked = n.inst.Voter
+		n.local.QuorumBacked, n.local.Version = n.inst.Voter, 3
 	}
 	s.run(15 * second)
 	for _, n := range s.nodes {
 		age, ok := n.core.View().Staleness(s.now)
 		is.True(ok)
 		is.True(age < 5*second)
+		is.Equal(n.core.View().QuorumVersion, keel.Version(3))
 	}
 	for _, n := range s.nodes {
-		n.local.QuorumBacked = false
+		n.local.QuorumBacked, n.local.Version = false, 4
 	}
 	s.run(60 * second)
 	for _, n := range s.nodes { // beacons that go round don't count again
 		age, _ := n.core.View().Staleness(s.now)
 		is.True(age > 50*second)
+		is.Equal(n.core.View().QuorumVersion, keel.Version(3))
 	}
 }
--- a/keelmember/domain.go
+++ b/keelmember/domain.go
@@ -148,6 +148,7 @@
 		d := c.domains[name]
 		g := d.digest
 		g.AgeMillis = max(0, c.now.Sub(d.made).Milliseconds())
+		g.Beacon = nil // the heartbeat carries the latest one
 		out = append(out, g)
 	}
 	c.pendingRelays = c.pendingRelays[len(out):]
@@ -204,6 +205,17 @@
 	c.send(d.contacts[choice%len(d.contacts)].Peer, keel.KindDigest, g)
 }
 
+// sign has a voter with a working majority send a sign of it to other domains.
+// Digests alone would take long to carry it through many domains.
+func (c *Core) sign() {
+	if !c.local.QuorumBacked || c.now.Before(c.nextSign) {
+		return
+	}
+	c.nextSign = c.now.Add(max(minSignPeriod, time.Duration(len(c.domains))*signPerDomain))
+	c.raiseBeacon()
+	c.pushVersion()
+}
+
 // pushVersion has a voter tell the representatives of other domains of a new
 // version. Voters share the domains.
 func (c *Core) pushVersion() {
@@ -239,6 +251,6 @@
 	return &Digest{
 		Domain: c.self.Domain, Region: c.self.Region,
 		Sender: Contact{Name: c.self.Name, Peer: c.self.Peer}, Version: c.local.Version,
-		Brief: true, Beacon: c.beacon,
+		Brief: true, Beacon: c.agedBeacon(),
 	}
 }
--- a/keelmember/heartbeat.go
+++ b/keelmember/heartbeat.go
@@ -58,7 +58,7 @@
 		Registered:  c.local.Registered,
 		Room:        c.local.Room,
 		HearsYou:    m.live() || m.state() == StateLeaving,
-		Beacon:      c.beacon,
+		Beacon:      c.agedBeacon(),
 	}
 	if m.live() {
 		h.Digests = digests
@@ -153,10 +153,7 @@
 }
 
 // voterSign is what is known of a voter.
-type voterSign struct {
-	beacon Beacon
-	heard  bool // a beacon came
-}
+type voterSign struct{ beacon Beacon }
 
 // maxVoters bounds the voters that are remembered.
 const maxVoters = 16
@@ -177,7 +174,17 @@
 	if s, ok := c.voters[c.self.Name]; ok {
 		n = s.beacon.Number + 1
 	}
-	c.noteBeacon(&Beacon{Voter: c.self.Name, Incarnation: c.self.Incarnation, Number: n})
+	c.noteBeacon(&Beacon{Voter: c.self.Name, Incarnation: c.self.Incarnation, Number: n, Version: c.local.Version})
+}
+
+// agedBeacon returns the latest beacon with its present age.
+func (c *Core) agedBeacon() *Beacon {
+	if c.beacon == nil {
+		return nil
+	}
+	b := *c.beacon
+	b.AgeMillis = c.now.Sub(c.quorumHeard).Milliseconds()
+	return &b
 }
 
 // noteBeacon records a beacon if it is newer than the last one of its voter.
@@ -196,7 +203,10 @@
 	if !newer {
 		return
 	}
-	s.beacon, s.heard = *b, true
-	c.beacon = b
-	c.quorumHeard = c.now
+	s.beacon = *b
+	made := c.now.Add(-time.Duration(b.AgeMillis) * time.Millisecond)
+	if c.beacon == nil || made.After(c.quorumHeard) {
+		c.beacon = b
+		c.quorumHeard = made
+	}
 }
--- a/keelmember/message.go
+++ b/keelmember/message.go
@@ -33,6 +33,20 @@
 	Voter       keel.InstanceName `json:"voter" cbor:"1,keyasint"`
 	Incarnation uint64            `json:"incarnation" cbor:"2,keyasint"`
 	Number      uint64            `json:"number" cbor:"3,keyasint"`
+	// Version is what the voter had in force.
+	Version keel.Version `json:"version" cbor:"4,keyasint"`
+	// AgeMillis is the time since the voter made it, in milliseconds, without
+	// the time that it spent on the wire.
+	AgeMillis int64 `json:"age_millis" cbor:"5,keyasint,omitempty"`
+}
+
+// Check reports a malformed name or a negative age.
+func (b *Beacon) Check() keel.Faults {
+	fs := keel.CheckName("voter", b.Voter)
+	if b.AgeMillis < 0 {
+		fs.Add("age_millis", "is %d, must not be negative", b.AgeMillis)
+	}
+	return fs
 }
 
 // Heartbeat is the sign of life of an instance to one other instance of its
@@ -171,6 +185,9 @@
 			fs.Add("incarnation", "is %d, the instance's is %d", h.Incarnation, h.Instance.Incarnation)
 		}
 	}
+	if h.Beacon != nil {
+		fs.Under("beacon", h.Beacon.Check())
+	}
 	for i := range h.Digests {
 		fs.Under("digests", h.Digests[i].Check())
 	}
@@ -198,6 +215,9 @@
 	if g.AgeMillis < 0 || g.Live < 0 || g.Lagging < 0 {
 		fs.Add("age_millis", "must not be negative, like live and lagging")
 	}
+	if g.Beacon != nil {
+		fs.Under("beacon", g.Beacon.Check())
+	}
 	for i := range g.Instances {
 		in := &g.Instances[i]
 		fs.Under("instances", (&Contact{Name: in.Name, Peer: in.Peer}).Check())
--- a/keelmember/view.go
+++ b/keelmember/view.go
@@ -22,9 +22,10 @@
 	Others []DomainView `json:"others"`
 	// Representatives of the own failure domain.
 	Representatives []keel.InstanceName `json:"representatives"`
-	// QuorumHeard is when a sign of a working majority of voters last came in;
-	// zero means never.
-	QuorumHeard time.Time `json:"quorum_heard,omitzero"`
+	// QuorumHeard is when a voter with a working majority made the latest sign
+	// that came in; zero means never. QuorumVersion is what it had in force.
+	QuorumHeard   time.Time    `json:"quorum_heard,omitzero"`
+	QuorumVersion keel.Version `json:"quorum_version"`
 	// Superseded says that a later incarnation of this instance is alive.
 	Superseded bool `json:"superseded,omitempty"`
 }
