--- a/keelscenario/change.go
+++ b/keelscenario/change.go
@@ -1,12 +1,14 @@
 package keelscenario
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"sync"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeloperate"
 	"github.com/sourcegraph/conc"
 )
 
@@ -23,7 +25,8 @@
 }
 
 // cmdRace lets operators submit different changes to the same version at once,
-// in turn at the instances named, and fails unless exactly one wins.
+// in turn at the instances named, each again with the same id until it has an
+// outcome, and fails unless exactly one wins.
 func cmdRace(c *cluster, args []string) {
 	n := c.number(args[0])
 	entries := make([]*instance, len(args)-1)
@@ -42,7 +45,7 @@
 		client := c.client(entries[i%len(entries)])
 		group.Go(func() {
 			id := keel.ChangeID("race-" + strconv.Itoa(i) + "-v" + strconv.FormatUint(uint64(declared.Version), 10))
-			o, err := client.Submit(c.ctx, labelChange(id, declared.Version, "race"))
+			o, err := submit(c.ctx, client, labelChange(id, declared.Version, "race"))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -63,6 +66,18 @@
 	}
 }
 
+// submit sends a change with the same id until it has an outcome.
+func submit(ctx context.Context, client *keeloperate.Client, change keel.Change) (keel.Outcome, error) {
+	deadline := time.Now().Add(WaitLimit)
+	for {
+		o, err := client.Submit(ctx, change)
+		if err == nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return o, err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // cmdChanges submits changes one after the other, each again with another id
 // until it is accepted, and sets $version to the version that the last one made.
 func cmdChanges(c *cluster, args []string) {
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -68,6 +68,7 @@
 	return map[string]usage{
 		"cluster":   {cmdCluster, "domain|regions", 1},
 		"leader":    {cmdLeader, "", 0},
+		"shiftcap":  {cmdShiftCap, "INSTANCE SELECTOR DOMAIN PERCENT WINDOW WEIGHT", 6},
 		"instance":  {cmdInstance, "NAME DOMAIN REGION [voter]", 3},
 		"start":     {cmdStart, "INSTANCE...", 1},
 		"shutdown":  {cmdStop, "INSTANCE...", 1},
@@ -98,6 +99,7 @@
 		"until":     {cmdUntil, "INSTANCE PATH OP VALUE", 4},
 		"expect":    {cmdExpect, "INSTANCE PATH OP VALUE", 4},
 		"request":   {cmdRequest, "INSTANCE METHOD PATH [HEADER=VALUE...]", 3},
+		"post":      {cmdPost, "ADDRESS PATH JSON", 3},
 		"race":      {cmdRace, "OPERATORS INSTANCE...", 2},
 		"changes":   {cmdChanges, "INSTANCE COUNT PREFIX", 3},
 		"resend":    {cmdResend, "INSTANCE ID", 2},
--- /dev/null
+++ b/keelscenario/shift.go
@@ -0,0 +1,54 @@
+package keelscenario
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+)
+
+// capTolerance allows for rounding of shares.
+const capTolerance = 1e-6
+
+// sample is a share as it stood in a dump at a time of the instance's clock.
+type sample struct {
+	at    time.Time
+	share float64
+}
+
+// cmdShiftCap watches the share of a failure domain in a selector's vector until
+// it reaches a weight, and fails if it ever moved by more than the cap within a
+// window.
+func cmdShiftCap(c *cluster, args []string) {
+	in := c.instance(args[0])
+	path := "steering.shares.source/selector=" + args[1] + ".vector.domain=" + args[2] + ".weight"
+	limit := float64(c.number(args[3]))/100 + capTolerance
+	window := c.duration(args[4])
+	reach, err := strconv.ParseFloat(args[5], 64)
+	c.check(err)
+	var samples []sample
+	c.until("share "+path, func() (bool, string) {
+		doc, err := c.client(in).Dump(c.ctx)
+		if err != nil {
+			return false, err.Error()
+		}
+		s := c.sample(doc, path)
+		for _, earlier := range samples {
+			if s.at.Sub(earlier.at) < window && s.share-earlier.share > limit {
+				c.fatalf("share moved from %v to %v within %s", earlier.share, s.share, s.at.Sub(earlier.at))
+			}
+		}
+		samples = append(samples, s)
+		return s.share >= reach, strconv.FormatFloat(s.share, 'g', -1, 64)
+	})
+}
+
+func (c *cluster) sample(doc []byte, path string) sample {
+	var state struct {
+		Time time.Time `json:"time"`
+	}
+	c.check(json.Unmarshal(doc, &state))
+	var v any
+	c.check(json.Unmarshal(doc, &v))
+	share, _ := valueAt(v, path).(float64) // a domain that is not listed has none
+	return sample{at: state.Time, share: share}
+}
--- a/keelscenario/traffic.go
+++ b/keelscenario/traffic.go
@@ -157,6 +157,20 @@
 	for k, v := range c.options(args[3:]) {
 		req.Header.Set(k, v)
 	}
+	c.print(req)
+}
+
+// cmdPost posts a JSON body to an address, and prints the answer.
+func cmdPost(c *cluster, args []string) {
+	body := strings.NewReader(strings.Join(args[2:], " "))
+	req, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+args[0]+args[1], body)
+	c.check(err)
+	req.Header.Set("Content-Type", "application/json")
+	c.print(req)
+}
+
+// print sends a request and prints the status, the header and the body.
+func (c *cluster) print(req *http.Request) {
 	resp, err := http.DefaultClient.Do(req)
 	c.check(err)
 	defer func() { _ = resp.Body.Close() }()
