keelclaim: homes are domains with registered instances

Cause: a scenario over real processes showed that keys were refused whenever the hash fell on a declared domain without registered instances. Change: only domains with registered instances can be homes; when that set changes, keys need a majority in their former home too, as remembered by each instance within the retention. Conclusion: a domain can be declared before its instances are registered. An instance that restarted after such a change knows only the present homes.

--- a/keelclaim/claim.go
+++ b/keelclaim/claim.go
@@ -59,7 +59,7 @@
 	cfg.Sets = slices.DeleteFunc(cfg.Sets, func(set Set) bool { return len(set.Holders) == 0 })
 	if len(cfg.Sets) == 0 {
 		return cfg, keel.Refuse(keel.NotRun, keel.ReasonClaimHome, 0,
-			"the key's home %q has no registered instances", homes)
+			"no home of the key has registered instances; possible homes are %q", homes)
 	}
 	return cfg, nil
 }
@@ -75,12 +75,8 @@
 		cfg.Ticket = &TicketFacts{IssuedAt: t.IssuedAt, Starts: t.Starts}
 		return []keel.DomainName{t.Home}, nil
 	}
-	declared := [][]keel.DomainName{s.cfg.Domains()}
-	if s.cfg.FormerDomains != nil {
-		declared = append(declared, s.cfg.FormerDomains()...)
-	}
 	var homes []keel.DomainName
-	for _, domains := range declared {
+	for _, domains := range s.homeSets(s.cfg.Clock.Now()) {
 		if home, ok := HomeOf(id, domains); ok && !slices.Contains(homes, home) {
 			homes = append(homes, home)
 		}
--- /dev/null
+++ b/keelclaim/home.go
@@ -0,0 +1,56 @@
+package keelclaim
+
+import (
+	"slices"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// formerHomes is a set of failure domains that could be homes until a time.
+type formerHomes struct {
+	domains []keel.DomainName
+	until   time.Time
+}
+
+// eligible returns the declared failure domains with registered instances. The
+// others can't be homes.
+func (s *Service) eligible() []keel.DomainName {
+	return slices.DeleteFunc(slices.Clone(s.cfg.Domains()), func(d keel.DomainName) bool {
+		return !slices.ContainsFunc(s.cfg.Holders(d), func(set Set) bool {
+			return set.Until.IsZero() && len(set.Holders) > 0
+		})
+	})
+}
+
+// noteHomes remembers the set of possible homes when it changes, since keys of
+// before may be claimed at their former home.
+func (s *Service) noteHomes(now time.Time) {
+	domains := s.eligible()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Equal(domains, s.homeDomains) && len(s.homeDomains) > 0 {
+		s.formerHomes = append(s.formerHomes, formerHomes{domains: s.homeDomains, until: now})
+	}
+	s.homeDomains = domains
+	s.formerHomes = slices.DeleteFunc(s.formerHomes, func(f formerHomes) bool {
+		return now.Sub(f.until) > s.memory()
+	})
+}
+
+// homeSets returns the sets of possible homes: the present one and the
+// former ones within the retention.
+func (s *Service) homeSets(now time.Time) [][]keel.DomainName {
+	s.noteHomes(now)
+	var sets [][]keel.DomainName
+	if s.cfg.FormerDomains != nil {
+		sets = append(sets, s.cfg.FormerDomains()...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sets = append(sets, s.homeDomains)
+	for _, f := range s.formerHomes {
+		sets = append(sets, f.domains)
+	}
+	return sets
+}
--- a/keelclaim/network_test.go
+++ b/keelclaim/network_test.go
@@ -118,7 +118,11 @@
 			defer n.mu.Unlock()
 			return n.sets[d]
 		},
-		Domains:        func() []keel.DomainName { return n.domains },
+		Domains: func() []keel.DomainName {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.domains
+		},
 		Clock:          clockwork.NewRealClock(),
 		Log:            logrus.NewEntry(log),
 		Secret:         testSecret,
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -82,7 +82,10 @@
 	starts map[keel.InstanceName]uint64
 	outbox []*delivery
 	closed bool
-	wg     conc.WaitGroup
+	// homeDomains and formerHomes are the present and former possible homes.
+	homeDomains []keel.DomainName
+	formerHomes []formerHomes
+	wg          conc.WaitGroup
 }
 
 // New returns a service. It takes part in claims once [Service.Run] runs.
@@ -155,6 +158,7 @@
 
 func (s *Service) tick() {
 	now := s.cfg.Clock.Now()
+	s.noteHomes(now)
 	sets := InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.memory())
 	lifted := s.cfg.BarrierLifted != nil && s.cfg.BarrierLifted()
 	s.mu.Lock()
@@ -274,7 +278,7 @@
 	if t, ok, err := s.ParseKey(r.Key); ok {
 		return t.Home, err == nil
 	}
-	return HomeOf(IDOf(s.cfg.Secret, r), s.cfg.Domains())
+	return HomeOf(IDOf(s.cfg.Secret, r), s.eligible())
 }
 
 // seedOf draws a position that is stable for a key, such that copies of answers
--- a/keelclaim/service_test.go
+++ b/keelclaim/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -186,6 +187,35 @@
 	}
 }
 
+// TestHomes declares a failure domain without registered instances, which is
+// nobody's home, and then registers instances there: keys stay findable.
+func TestHomes(t *testing.T) {
+	is := is.New(t)
+	n, all := home(t)
+	n.mu.Lock()
+	n.domains = []keel.DomainName{"dakar-a", "thies-a"}
+	n.mu.Unlock()
+	const keys = 30
+	for i := range keys {
+		g, err := all[0].Claim(t.Context(), request(fmt.Sprintf("key-%d", i), time.Minute))
+		is.NoErr(err)
+		g.SettleRan(t.Context())
+	}
+	other := n.start(t, "k4", "thies-a", 1)
+	n.mu.Lock()
+	n.sets["thies-a"] = []keelclaim.Set{{Holders: []keel.InstanceName{"k4"}, SeenNew: true}}
+	n.mu.Unlock()
+	waitPhase(t, other, keelclaim.PhaseWhole)
+	for home := keel.DomainName(""); home != "thies-a"; {
+		key := fmt.Sprintf("new-%d", time.Now().UnixNano())
+		home, _ = all[0].HomeOf(request(key, time.Minute))
+	}
+	for i := range keys {
+		_, err := all[0].Claim(t.Context(), request(fmt.Sprintf("key-%d", i), time.Minute))
+		is.Equal(refusalOf(t, err).Verdict, keel.Ran)
+	}
+}
+
 func TestLeaveHandsOver(t *testing.T) {
 	is := is.New(t)
 	n, all := home(t)
