keeldeclare: go on with a backfill while nothing changes

Cause: a peer was forgotten two minutes after it last told of a higher version, so a paced backfill of client blocks would have stopped in a quiet time; and a peer with nothing of use was asked again every 250 ms for ever. Change: membership also tells of peers with the same version, an answer keeps a peer in mind, and an answer of no use doubles the wait.

--- a/keeldeclare/fetcher.go
+++ b/keeldeclare/fetcher.go
@@ -193,11 +193,6 @@
 		f.cfg.Log.WithError(err).Error("declarations are in force but not on disk")
 		err = nil
 	}
-	if err == nil && !resp.useful() {
-		f.sources.answered(peer, resp.Version)
-		f.sources.failed(f.cfg.Clock.Now(), peer) // it has nothing of use yet
-		return
-	}
 	if err != nil {
 		f.stats.Failures++
 		f.stats.LastError = err.Error()
@@ -205,5 +200,5 @@
 		f.cfg.Log.WithError(err).WithField("peer", peer.String()).Warn("fetch of declarations failed")
 		return
 	}
-	f.sources.answered(peer, resp.Version)
+	f.sources.answered(f.cfg.Clock.Now(), peer, resp.Version, resp.useful())
 }
--- a/keeldeclare/fetcher_test.go
+++ b/keeldeclare/fetcher_test.go
@@ -43,7 +43,8 @@
 func TestFetcher(t *testing.T) {
 	full := newVoter(t, 20, keeldeclare.ReplicaConfig{})
 	full.apply(blockOps(0, 8000, 20)...)
-	old := newReplica(t, keeldeclare.ReplicaConfig{})
+	old, partial := newReplica(t, keeldeclare.ReplicaConfig{}), newReplica(t, keeldeclare.ReplicaConfig{})
+	exchange(t, partial, full.replica, 8<<10)
 	const rate = 5000
 	tests := []struct {
 		name     string
@@ -54,6 +55,7 @@
 		{"own domain first", map[netip.AddrPort]*keeldeclare.Replica{inside: full.replica, outside: full.replica}, []netip.AddrPort{inside}, []netip.AddrPort{outside}},
 		{"next in the domain", map[netip.AddrPort]*keeldeclare.Replica{inside: nil, inside2: full.replica}, []netip.AddrPort{inside, inside2}, nil},
 		{"domain has less than it said", map[netip.AddrPort]*keeldeclare.Replica{inside: old, outside: full.replica}, []netip.AddrPort{inside, outside}, nil},
+		{"domain lacks blocks", map[netip.AddrPort]*keeldeclare.Replica{inside: partial, outside: full.replica}, []netip.AddrPort{inside, outside}, nil},
 		{"outside only, paced", map[netip.AddrPort]*keeldeclare.Replica{outside: full.replica}, []netip.AddrPort{outside}, nil},
 	}
 	for _, tt := range tests {
@@ -93,6 +95,9 @@
 			for _, a := range tt.spared {
 				is.Equal(tr.calls[a].Load(), int64(0))
 			}
+			if tt.replicas[inside] == partial {
+				is.True(tr.calls[inside].Load() < 20) // it is asked less and less often
+			}
 			const onePart = 32 << 10
 			is.True(float64(f.Stats().OutsideBytes) <= rate*elapsed.Seconds()+onePart)
 		})
--- a/keeldeclare/replica.go
+++ b/keeldeclare/replica.go
@@ -14,8 +14,10 @@
 	// Dir is the folder that the state is kept in. Empty means that a restart
 	// begins with nothing.
 	Dir string
-	// OnApply is called with every new state, in the order of versions, by the
-	// goroutine that installed it. It may be nil.
+	// OnApply is called with every new version, and once more when the last
+	// missing client blocks of a partial state came. The goroutine that
+	// installs the state calls it, so of the replica's methods it may call
+	// only Current. It may be nil.
 	OnApply func(*Snapshot)
 	// MaxLogBytes bounds the operations of past changes that are kept for
 	// other instances; 0 means 4 MiB.
--- a/keeldeclare/sources.go
+++ b/keeldeclare/sources.go
@@ -111,12 +111,20 @@
 	p.notBefore = now.Add(wait)
 }
 
-// answered records a useful answer, or one that had less than was said.
-func (s *sources) answered(peer netip.AddrPort, v keel.Version) {
-	if p, ok := s.peers[peer]; ok {
+// answered records the version that a peer named in its answer. A peer whose
+// answer was of no use waits like one that failed.
+func (s *sources) answered(now time.Time, peer netip.AddrPort, v keel.Version, useful bool) {
+	p, ok := s.peers[peer]
+	if !ok {
+		return
+	}
+	p.version = v
+	p.heard = now
+	if useful {
 		p.failures = 0
-		p.version = v
+		return
 	}
+	s.failed(now, peer)
 }
 
 // pacer spreads bytes over time.
--- a/keelmember/core.go
+++ b/keelmember/core.go
@@ -100,8 +100,9 @@
 	Body keel.Checker
 }
 
-// VersionNotice says that a peer has a higher version of the declarations than
-// this instance.
+// VersionNotice says that a peer has the version of the declarations that this
+// instance has, or a higher one. One with the same version can still have client
+// blocks that this instance lacks.
 type VersionNotice struct {
 	Peer       netip.AddrPort
 	Version    keel.Version
@@ -254,9 +255,9 @@
 	c.out.Sends = append(c.out.Sends, Send{To: to, Kind: kind, Body: body})
 }
 
-// noticeVersion reports a peer that has more than this instance.
+// noticeVersion reports a peer that has no less than this instance.
 func (c *Core) noticeVersion(peer netip.AddrPort, v keel.Version, sameDomain bool) {
-	if v > c.local.Version {
+	if v >= c.local.Version && v > 0 {
 		c.out.Versions = append(c.out.Versions, VersionNotice{Peer: peer, Version: v, SameDomain: sameDomain})
 	}
 }
--- a/keelmember/service.go
+++ b/keelmember/service.go
@@ -27,8 +27,9 @@
 	Log       *logrus.Entry
 	// Local returns what the instance tells about itself. It must not wait.
 	Local func() Local
-	// OnVersion is called when a peer has a higher version of the declarations.
-	// It must not wait, and may be nil.
+	// OnVersion is called with every sign of life of a peer that has the
+	// version of the declarations which this instance has, or a higher one. It
+	// must not wait, and may be nil.
 	OnVersion func(peer netip.AddrPort, v keel.Version, sameDomain bool)
 	// Seed makes the random choices.
 	Seed uint64
