keelsteer: look-ups count no request

A look-up called Pick, which counts a request into the base of the cap on diverted requests. A caller that only asks raised what could be diverted. It calls Peek now.

--- a/keelsteer/lookup.go
+++ b/keelsteer/lookup.go
@@ -99,8 +99,7 @@
 	}
 	now := time.Now()
 	choose := func(region keel.RegionName, _ uint64) (keel.DomainName, bool) {
-		domain, refusal := e.pick(p, sel, keelroute.Source{Selector: sel.Name, Region: region}, r)
-		return domain, refusal == nil
+		return e.peek(now, p, sel, keelroute.Source{Selector: sel.Name, Region: region}, r)
 	}
 	a := p.lookup.Answer(keellookup.Query{Now: now, Addr: r.Caller, Service: r.Service}, choose)
 	if len(a.Instances) == 0 {
@@ -117,3 +116,14 @@
 	}
 	return out, nil
 }
+
+// peek returns the failure domain that a request of the caller would go to. It
+// counts no request, since the cap on shift is a part of the requests.
+func (e *Engine) peek(now time.Time, p *plan, sel *keel.Selector, src keelroute.Source, r *keelproxy.Request) (keel.DomainName, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.demand[src]; !known {
+		e.startSource(now, p, sel, src)
+	}
+	return e.shares.Peek(src, keellookup.BlockKey(r.Caller))
+}
