keelsteer: share vectors pass among the instances of a domain

An instance new to a source took its target as the vector, whatever others of its failure domain had spent of the cap.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -224,7 +224,9 @@
 	in.peer.Register(keel.KindAnnounce, in.endpoints)
 	in.peer.Register(keel.KindClaim, in.claims)
 	in.peer.Register(keel.KindGuard, in.guard)
-	in.peer.Register(keel.KindCredit, in.engine)
+	for _, kind := range in.engine.Kinds() {
+		in.peer.Register(kind, in.engine)
+	}
 	if in.control.node != nil {
 		in.peer.Register(keel.KindQuorum, in.control.node)
 	}
--- a/keelsteer/credits.go
+++ b/keelsteer/credits.go
@@ -112,17 +112,6 @@
 	return sums
 }
 
-// HandleMessage takes the credit notes of other instances. It implements
-// [keel.Handler] for [keel.KindCredit].
-func (e *Engine) HandleMessage(_ context.Context, env keel.Envelope) (keel.Envelope, error) {
-	var n creditNote
-	if err := keel.DecodeCBOR(env.Body, &n); err != nil {
-		return keel.Envelope{}, err
-	}
-	e.credits.receive(time.Now(), env.From, &n)
-	return keel.Envelope{}, nil
-}
-
 func (l loop) runCredits() {
 	ticker := time.NewTicker(creditPeriod)
 	defer ticker.Stop()
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -86,6 +86,8 @@
 	lost    map[keel.DomainName]bool
 	credits creditBook
 	links   linkBook
+	// exchange is guarded by mu.
+	exchange shareExchange
 }
 
 // load is the number of requests that run now, and its average over time.
@@ -114,6 +116,7 @@
 	}
 	e.credits = newCreditBook(cfg.Self.Name)
 	e.links = newLinkBook(cfg.Self.Region)
+	e.exchange = newShareExchange()
 	e.silence = newSilenceWatch(cfg.Log)
 	e.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: e.silence})
 	e.silence.client = e.client
@@ -129,6 +132,7 @@
 	group.Go(loop{e: e, ctx: ctx}.runExpiry)
 	group.Go(loop{e: e, ctx: ctx}.runCredits)
 	group.Go(loop{e: e, ctx: ctx}.runSilence)
+	group.Go(loop{e: e, ctx: ctx}.runShares)
 	ticker := time.NewTicker(planPeriod)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/keelsteer/message.go
@@ -0,0 +1,37 @@
+package keelsteer
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+// Kinds lists the kinds of messages that an engine handles.
+func (e *Engine) Kinds() []keel.MessageKind {
+	return []keel.MessageKind{keel.KindCredit, keel.KindShares}
+}
+
+// HandleMessage takes messages of the engines of other instances. It implements
+// [keel.Handler] for the kinds that [Engine.Kinds] lists.
+func (e *Engine) HandleMessage(_ context.Context, env keel.Envelope) (keel.Envelope, error) {
+	now := time.Now()
+	switch env.Kind {
+	case keel.KindCredit:
+		return keel.Envelope{}, e.receiveCredit(now, env)
+	case keel.KindShares:
+		return keel.Envelope{}, e.receiveShares(now, env)
+	default:
+		return keel.Envelope{}, errors.Errorf("message kind %d is not for the engine", env.Kind)
+	}
+}
+
+func (e *Engine) receiveCredit(now time.Time, env keel.Envelope) error {
+	var n creditNote
+	if err := keel.DecodeCBOR(env.Body, &n); err != nil {
+		return err
+	}
+	e.credits.receive(now, env.From, &n)
+	return nil
+}
