keelsteer: serve a request elsewhere within the cap on shift

A request whose failure domain granted no credit or had no endpoint was offered to the same domain again. It now goes to the own domain or to the nearest one with credit, if the source's cap leaves room (Divert); else it is refused. The owner of a pool with a standing queue sends a request on where waiting here costs more than the way and the wait there (Overflows, DivertOptional). Without credit it waits here as before.

--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -149,6 +149,9 @@
 	if pl == nil {
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonUnknownService, 0, "service %q is not declared", sel.Service)
 	}
+	if answer, sent, err := e.runOverflow(ctx, p, sel, r); sent {
+		return answer, err
+	}
 	body := trackBody(r)
 	item := keeladmit.Item{Class: sel.Class, Deadline: r.Deadline, Labels: sel.Endpoints, Selector: sel.Name}
 	for try := 1; ; try++ {
--- a/keelsteer/remote.go
+++ b/keelsteer/remote.go
@@ -15,6 +15,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	body := r.Body
 	region := p.regions[domain]
 	if region != e.cfg.Self.Region && r.Body != nil {
 		r.Body = &pacedBody{r: r.Body, ctx: ctx, book: &e.links, to: region, selector: sel.Name}
@@ -22,6 +23,7 @@
 	answer, err := e.send(ctx, to, r)
 	if err != nil {
 		release()
+		r.Body = body // the next try may take another way
 		return nil, err
 	}
 	answer.Body = onClose(answer.Body, release)
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -61,7 +61,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		answer, err := e.runIn(ctx, p, sel, r, src, domain)
+		answer, err := e.runChosen(ctx, p, sel, r, src, domain, body)
 		if err == nil {
 			return answer, nil
 		}
@@ -111,10 +111,11 @@
 }
 
 // helps reports whether a request that was refused for this reason may fare
-// better at another endpoint. Queues that are full are not asked again.
+// better at another endpoint. Queues that are full and failure domains that grant
+// no credit are not asked again.
 func helps(reason keel.Reason) bool {
 	switch reason {
-	case keel.ReasonEndpointFailed, keel.ReasonPeerFailed, keel.ReasonNoEndpoint, keel.ReasonLeaving, keel.ReasonNoCredit:
+	case keel.ReasonEndpointFailed, keel.ReasonPeerFailed, keel.ReasonNoEndpoint, keel.ReasonLeaving:
 		return true
 	default:
 		return false
