--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -53,7 +53,11 @@
 }
 
 func (x *dispatched) end(o keeladmit.Outcome) {
-	x.once.Do(func() { x.pool.release(x.target.ID, o, time.Since(x.start)) })
+	x.once.Do(func() {
+		now := time.Now()
+		x.pool.release(x.target.ID, o, now.Sub(x.start))
+		x.e.noteEnded(now, x.pool, x.target.ID)
+	})
 }
 
 // observedBody is the body of an endpoint's answer. It ends the request when it
--- a/keelsteer/drain.go
+++ b/keelsteer/drain.go
@@ -49,7 +49,7 @@
 		return DrainState{}, false
 	}
 	s.Done = true
-	s.Took = keel.Duration(now.Sub(s.Since))
+	s.Took = keel.Duration(max(0, now.Sub(s.Since)))
 	return *s, true
 }
 
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -198,20 +198,28 @@
 	e.noteDrained(now, mine)
 }
 
-// noteDrained logs the endpoints that take no new work and run nothing more.
+// noteDrained looks at the owned endpoints that take no new work.
 func (e *Engine) noteDrained(now time.Time, mine map[keel.ServiceName][]owned) {
 	for service, list := range mine {
 		for _, o := range list {
-			if !o.drain || e.pools[service].inFlight(o.state.ID) > 0 {
-				continue
-			}
-			if s, ok := e.drains.ended(now, o.state.ID); ok {
-				e.cfg.Log.WithField("endpoint", s.Endpoint.String()).WithField("drain_ms", s.Took.Std().Milliseconds()).Info("endpoint drained")
+			if o.drain {
+				e.noteEnded(now, e.pools[service], o.state.ID)
 			}
 		}
 	}
 }
 
+// noteEnded notes and logs when the last request has ended at an endpoint that
+// takes no new work.
+func (e *Engine) noteEnded(now time.Time, pl *pool, id keel.EndpointID) {
+	if pl.inFlight(id) > 0 {
+		return
+	}
+	if s, ok := e.drains.ended(now, id); ok {
+		e.cfg.Log.WithField("endpoint", s.Endpoint.String()).WithField("drain_ms", s.Took.Std().Milliseconds()).Info("endpoint drained")
+	}
+}
+
 func (e *Engine) drainOf(p *plan, a *keel.Announcement, labels keel.Labels) bool {
 	return a.State == keel.EndpointLeaving || labels.On(keel.LabelDrain) ||
 		p.drained(keel.TargetDomain, string(e.cfg.Self.Domain), nil)
