keelclaim: don't wait for an attempt past its deadline

Cause: a resend of a key whose instance was killed waited until its own deadline, each time, for an outcome that nobody would send. Change: once the holding attempt is past its deadline, a claim waits for 500 ms more and is then refused as may_have_run.

--- a/keelclaim/claimant.go
+++ b/keelclaim/claimant.go
@@ -80,6 +80,9 @@
 	// homeWait is how long a claim tries to reach a majority of a home of
 	// which nobody knows another attempt.
 	homeWait = 2 * time.Second
+	// lateWait is how long a claim waits for the outcome of an attempt that is
+	// past its deadline.
+	lateWait = 500 * time.Millisecond
 	// maxDoublings bounds the growth of rounds and pauses.
 	maxDoublings = 6
 )
@@ -313,12 +316,17 @@
 }
 
 // limit returns when the claimant gives up: at the deadline if another attempt
-// is under way whose outcome can be waited for.
+// is under way whose outcome can be waited for. An attempt that is past its own
+// deadline has most likely been lost together with its instance.
 func (c *Claimant) limit() time.Time {
-	if c.ballot.held {
+	switch {
+	case c.ballot.held && c.ballot.heldWait > 0:
 		return c.cfg.Deadline
+	case c.ballot.held:
+		return earlier(c.cfg.Deadline, c.started.Add(lateWait))
+	default:
+		return earlier(c.cfg.Deadline, c.started.Add(homeWait))
 	}
-	return earlier(c.cfg.Deadline, c.started.Add(homeWait))
 }
 
 // pause returns a random time, so that claimants which took each other's votes
