keelsteer: hand endpoints over to their new owner

A successor waited out the whole lease of 3 s, also where the owner before was alive and had stopped. That one now tells it what still runs at each endpoint (KindHandOver), again while something runs, so that the successor starts at once on the slots that are free. What it does not hear of for 3 s counts as ended.

--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -86,8 +86,9 @@
 	lost    map[keel.DomainName]bool
 	credits creditBook
 	links   linkBook
-	// exchange is guarded by mu.
+	// exchange and moved are guarded by mu.
 	exchange shareExchange
+	moved    handOvers
 }
 
 // load is the number of requests that run now, and its average over time.
@@ -117,6 +118,7 @@
 	e.credits = newCreditBook(cfg.Self.Name)
 	e.links = newLinkBook(cfg.Self.Region)
 	e.exchange = newShareExchange()
+	e.moved = newHandOvers()
 	e.silence = newSilenceWatch(cfg.Log)
 	e.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: e.silence})
 	e.silence.client = e.client
@@ -133,6 +135,7 @@
 	group.Go(loop{e: e, ctx: ctx}.runCredits)
 	group.Go(loop{e: e, ctx: ctx}.runSilence)
 	group.Go(loop{e: e, ctx: ctx}.runShares)
+	group.Go(loop{e: e, ctx: ctx}.runHandOver)
 	ticker := time.NewTicker(planPeriod)
 	defer ticker.Stop()
 	for {
--- a/keelsteer/message.go
+++ b/keelsteer/message.go
@@ -10,7 +10,7 @@
 
 // Kinds lists the kinds of messages that an engine handles.
 func (e *Engine) Kinds() []keel.MessageKind {
-	return []keel.MessageKind{keel.KindCredit, keel.KindShares}
+	return []keel.MessageKind{keel.KindCredit, keel.KindShares, keel.KindHandOver}
 }
 
 // HandleMessage takes messages of the engines of other instances. It implements
@@ -22,6 +22,8 @@
 		return keel.Envelope{}, e.receiveCredit(now, env)
 	case keel.KindShares:
 		return keel.Envelope{}, e.receiveShares(now, env)
+	case keel.KindHandOver:
+		return keel.Envelope{}, e.receiveHandOver(now, env)
 	default:
 		return keel.Envelope{}, errors.Errorf("message kind %d is not for the engine", env.Kind)
 	}
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -126,6 +126,8 @@
 	for id := range e.known {
 		if !present[id] {
 			e.owners.Forget(id)
+			delete(e.moved.given, id)
+			delete(e.moved.taken, id)
 			e.ramp.Remove(id)
 		}
 	}
@@ -135,7 +137,7 @@
 		}
 	}
 	e.known = present
-	e.owners.Update(now, p.liveOwners(e.cfg.Self, e.leaving.Load()), p.registered(e.cfg.Self.Domain))
+	e.updateOwners(now, p)
 }
 
 // liveOwners returns the instances of the own failure domain that may own
