keelsteer: wants and grants by the sizes of the admission core

Wants were 1.25 times what ran, spare slots whatever was not busy and nothing once a request waited, and a grant was cut into a part for each registered instance. Now rates, WantSlots and SpareSlots decide, over averages of 2 s, and only instances that want a part get one. An instance with waiting requests asks others with free slots for a little room, so that it can send some on.

--- a/keelsteer/credits.go
+++ b/keelsteer/credits.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +14,6 @@
 // creditPeriod is how often wants and grants are exchanged.
 const creditPeriod = 500 * time.Millisecond
 
-// wantMargin is how much more room is asked for than is used.
-const wantMargin = 1.25
-
 // creditNote carries the wants of one instance to the instances of another
 // failure domain, or the grants of one of them back.
 type creditNote struct {
@@ -45,6 +42,10 @@
 	grantor *keeladmit.Grantor
 	// wanted holds what each instance of another domain asked for last.
 	wanted map[wantKey]wantEntry
+	// home holds the mean number of requests of the own domain per service.
+	home map[keel.ServiceName]*keelroute.Average
+	// foreign counts the requests of other domains that run here.
+	foreign map[keel.ServiceName]int
 }
 
 type wantKey struct {
@@ -64,6 +65,8 @@
 		wallet:  keeladmit.NewWallet(self),
 		grantor: keeladmit.NewGrantor(keeladmit.GrantorConfig{Self: self}),
 		wanted:  make(map[wantKey]wantEntry),
+		home:    make(map[keel.ServiceName]*keelroute.Average),
+		foreign: make(map[keel.ServiceName]int),
 	}
 }
 
@@ -94,24 +97,48 @@
 // wantTTL is how long a want counts that is not renewed.
 const wantTTL = 3 * time.Second
 
-// domainWant is what all instances of a domain together want of a service.
+// domainWant is what the instances of a domain together want of a service.
 type domainWant struct {
 	domain  keel.DomainName
 	service keel.ServiceName
 }
 
-func (b *creditBook) sums(now time.Time) map[domainWant]int {
-	sums := make(map[domainWant]int)
+// wanters is the sum of wants and the instances that have them. Only these get
+// a part of a grant, so that small grants are not cut to nothing.
+type wanters struct {
+	slots   int
+	members []keel.InstanceName
+}
+
+func (b *creditBook) sums(now time.Time) map[domainWant]wanters {
+	sums := make(map[domainWant]wanters)
 	for k, w := range b.wanted {
 		if now.Sub(w.at) > wantTTL {
 			delete(b.wanted, k)
 			continue
 		}
-		sums[domainWant{w.domain, k.service}] += w.slots
+		if w.slots == 0 {
+			continue
+		}
+		of := domainWant{w.domain, k.service}
+		sum := sums[of]
+		sum.slots += w.slots
+		sum.members = append(sum.members, k.from)
+		sums[of] = sum
+	}
+	for _, sum := range sums {
+		slices.Sort(sum.members)
 	}
 	return sums
 }
 
+// count adds to the requests of other domains that run here.
+func (b *creditBook) count(service keel.ServiceName, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.foreign[service] += n
+}
+
 func (l loop) runCredits() {
 	ticker := time.NewTicker(creditPeriod)
 	defer ticker.Stop()
@@ -138,40 +165,78 @@
 }
 
 func (e *Engine) wants(p *plan) map[keel.DomainName][]keeladmit.Want {
-	sums := make(map[domainWant]float64)
+	rates := make(map[domainWant]float64)
 	e.mu.Lock()
 	for src := range e.demand {
 		sel := p.byName[src.Selector]
 		if sel == nil {
 			continue
 		}
-		total := e.totalDemand(src)
+		total := e.totalRate(src)
 		for _, w := range e.shares.Vector(src) {
-			if w.Domain != e.cfg.Self.Domain && w.Weight > 0 {
-				sums[domainWant{w.Domain, sel.Service}] += max(w.Weight*total, e.demandAt(src, w.Domain))
+			if w.Domain == e.cfg.Self.Domain || w.Weight <= 0 {
+				continue
 			}
+			rates[domainWant{w.Domain, sel.Service}] += w.Weight * total
 		}
 	}
 	e.mu.Unlock()
+	e.addOverflow(p, rates)
 	out := make(map[keel.DomainName][]keeladmit.Want)
-	for k, slots := range sums {
-		want := keeladmit.Want{Domain: e.cfg.Self.Domain, Service: k.service, Slots: 1 + int(math.Ceil(slots*wantMargin))}
+	for k, rate := range rates {
+		way := p.roundTrip(e.cfg.Self.Region, p.regions[k.domain])
+		// One slot more lets a stream of requests begin.
+		slots := 1 + keeladmit.WantSlots(rate, e.meanTime(p, k.service), way)
+		want := keeladmit.Want{Domain: e.cfg.Self.Domain, Service: k.service, Slots: slots}
 		out[k.domain] = append(out[k.domain], want)
 	}
 	return out
 }
 
+// addOverflow asks for a little room in other domains for the services that
+// wait here, so that a request can be sent on.
+func (e *Engine) addOverflow(p *plan, rates map[domainWant]float64) {
+	for service, pl := range p.pools {
+		if pl.waiting() == 0 {
+			continue
+		}
+		for i := range p.view.Domains {
+			d := &p.view.Domains[i]
+			if d.Name != e.cfg.Self.Domain && roomOf(d.Rooms, service).Free > 0 {
+				rates[domainWant{d.Name, service}] += 0
+			}
+		}
+	}
+}
+
+// meanTime is how long a request of a service holds a slot, as far as this
+// instance can tell.
+func (e *Engine) meanTime(p *plan, service keel.ServiceName) time.Duration {
+	if pl := p.pools[service]; pl != nil {
+		return pl.serviceTime()
+	}
+	return 0
+}
+
+func (e *Engine) totalRate(src keelroute.Source) float64 {
+	total := 0.0
+	for _, l := range e.demand[src] {
+		total += l.rate.Value()
+	}
+	return total
+}
+
 func (e *Engine) totalDemand(src keelroute.Source) float64 {
 	total := 0.0
 	for _, l := range e.demand[src] {
-		total += l.average
+		total += l.average.Value()
 	}
 	return total
 }
 
 func (e *Engine) demandAt(src keelroute.Source, domain keel.DomainName) float64 {
 	if l := e.demand[src][domain]; l != nil {
-		return max(l.average, float64(l.now))
+		return max(l.average.Value(), float64(l.now))
 	}
 	return 0
 }
@@ -182,12 +247,14 @@
 	p := e.plan.Load()
 	notes := make(map[keel.DomainName]*creditNote)
 	e.credits.mu.Lock()
-	for k, slots := range e.credits.sums(now) {
-		want := keeladmit.Want{Domain: k.domain, Service: k.service, Slots: slots}
-		e.credits.grantor.SetWant(now, want, p.registered(k.domain))
+	farthest := make(map[keel.ServiceName]time.Duration)
+	for k, sum := range e.credits.sums(now) {
+		want := keeladmit.Want{Domain: k.domain, Service: k.service, Slots: sum.slots}
+		e.credits.grantor.SetWant(now, want, sum.members)
+		farthest[k.service] = max(farthest[k.service], p.roundTrip(e.cfg.Self.Region, p.regions[k.domain]))
 	}
 	for service, pl := range p.pools {
-		e.credits.grantor.SetSpare(service, e.spare(now, service, pl))
+		e.credits.grantor.SetSpare(service, e.spare(now, service, pl, farthest[service]))
 		for _, g := range e.credits.grantor.Grants(now, service) {
 			if notes[g.Domain] == nil {
 				notes[g.Domain] = &creditNote{Domain: e.cfg.Self.Domain}
@@ -201,16 +268,27 @@
 	}
 }
 
-// spare returns how many slots requests of other domains may use: all but those
-// that the own domain's requests use, as far as that can be told.
-func (e *Engine) spare(now time.Time, service keel.ServiceName, pl *pool) int {
+// spare returns how many requests of other domains may be under way here. The
+// caller holds the lock of the credits.
+func (e *Engine) spare(now time.Time, service keel.ServiceName, pl *pool, farthest time.Duration) int {
 	room := pl.room(now, service)
-	busy := room.Slots - room.Free
-	local := max(0, busy-e.credits.grantor.Granted(now, service))
-	if room.QueueDelay > 0 || e.leaving.Load() {
+	home := e.credits.home[service]
+	if home == nil {
+		average := keelroute.NewAverage(demandOver)
+		home = &average
+		e.credits.home[service] = home
+	}
+	busy := room.Slots - room.Free + pl.waiting() - e.credits.foreign[service]
+	home.Observe(now, float64(max(0, busy)))
+	if e.leaving.Load() {
 		return 0
 	}
-	return room.Slots - local
+	return keeladmit.SpareSlots(keeladmit.SpareInput{
+		Slots:       room.Slots,
+		Home:        home.Value(),
+		ServiceTime: pl.serviceTime(),
+		RoundTrip:   farthest,
+	})
 }
 
 func (e *Engine) notify(ctx context.Context, p *plan, domain keel.DomainName, note *creditNote) {
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -17,10 +17,13 @@
 	if sel == nil {
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonNoSelector, 0, "selector %q is not in force at instance %q", r.Selector, e.cfg.Self.Name)
 	}
+	done := e.countForeign(sel.Service, r.Via)
 	answer, err := e.runHere(ctx, p, sel, r)
 	if err != nil {
+		done()
 		return nil, err
 	}
+	answer.Body = onClose(answer.Body, done)
 	if from := p.regions[r.Via]; from != "" && from != e.cfg.Self.Region {
 		paced := &pacedBody{r: answer.Body, ctx: ctx, book: &e.links, to: from, selector: sel.Name}
 		answer.Body = &pacedAnswer{pacedBody: paced, Closer: answer.Body}
@@ -28,6 +31,16 @@
 	return answer, nil
 }
 
+// countForeign counts a request that came from another failure domain until the
+// function that it returns is called.
+func (e *Engine) countForeign(service keel.ServiceName, via keel.DomainName) func() {
+	if via == "" || via == e.cfg.Self.Domain {
+		return func() {}
+	}
+	e.credits.count(service, 1)
+	return func() { e.credits.count(service, -1) }
+}
+
 func (e *Engine) runHere(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
 	if p.ownsAny(e.cfg.Self.Name, sel.Name) || r.Hops > 1 {
 		return e.runOwned(ctx, p, sel, r)
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -91,12 +91,6 @@
 	moved    handOvers
 }
 
-// load is the number of requests that run now, and its average over time.
-type load struct {
-	now     int
-	average float64
-}
-
 // New returns an engine that runs nothing before [Engine.Run] has made its
 // first plan.
 func New(cfg Config) *Engine {
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -150,10 +150,12 @@
 	defer e.mu.Unlock()
 	l := e.demand[src][domain]
 	if l == nil {
-		l = &load{}
+		l = newLoad()
+		l.last = time.Now()
 		e.demand[src][domain] = l
 	}
 	l.now++
+	l.begun++
 	return func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/keelsteer/targets.go
+++ b/keelsteer/targets.go
@@ -7,8 +7,8 @@
 	"github.com/greengagekeel/greengagekeel/keelroute"
 )
 
-// demandSmoothing is the weight of one reading in the average demand.
-const demandSmoothing = 0.3
+// demandOver is the time over which the demand of a source is averaged.
+const demandOver = 2 * time.Second
 
 // startSource gives a source that was not seen before its first target. The
 // caller holds mu.
@@ -27,7 +27,7 @@
 	e.setLost(now, p)
 	for src, domains := range e.demand {
 		for _, l := range domains {
-			l.average += demandSmoothing * (float64(l.now) - l.average)
+			l.observe(now)
 		}
 		if sel := p.byName[src.Selector]; sel != nil {
 			e.setTarget(now, p, sel, src)
