--- a/keelscenario/instance.go
+++ b/keelscenario/instance.go
@@ -29,7 +29,7 @@
 	domain keel.DomainName
 	region keel.RegionName
 	voter  bool
-	// listen holds the ports, which stay the same from the first start on.
+	// listen holds the ports, which stay the same through restarts.
 	listen keelconfig.Listen
 	proc   *process
 }
@@ -56,8 +56,7 @@
 func cmdInstance(c *cluster, args []string) {
 	in := &instance{name: args[0], domain: keel.DomainName(args[1]), region: keel.RegionName(args[2])}
 	in.voter = slices.Contains(args[3:], "voter")
-	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	in.listen = keelconfig.Listen{Caller: loopback, Endpoint: loopback, Operator: loopback, Peer: loopback}
+	in.listen = keelconfig.Listen{Caller: c.freePort(), Endpoint: c.freePort(), Operator: c.freePort(), Peer: c.freePort()}
 	c.instances[in.name] = in
 	c.order = append(c.order, in.name)
 }
@@ -120,7 +119,7 @@
 		if other.voter {
 			s.Voters = append(s.Voters, keel.InstanceName(name))
 		}
-		if other != in && other.listen.Peer.Port() != 0 {
+		if other != in {
 			s.Join = append(s.Join, other.listen.Peer)
 		}
 	}
