docs: names of kinds, classes, targets and packages are checked too

The test fails if a row is taken out of a page (tried with one reason) or a link leads nowhere (tried with a file and a heading).

--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,23 +40,35 @@
 	}
 }
 
-func TestMetricsAreDescribed(t *testing.T) {
-	is := is.New(t)
-	page := read(t, filepath.Join(root, "docs", "operate", "metrics.md"))
-	names := metricNames(t, filepath.Join(root, "keelinstance", "metrics.go"))
-	is.True(len(names) > 0) // the metrics are found in the source
-	for _, name := range names {
-		is.True(strings.Contains(page, "| `keel_"+name+"` |")) // every metric has a row
+// TestNamesAreDescribed compares names in the code with the rows of the pages
+// that explain them.
+func TestNamesAreDescribed(t *testing.T) {
+	interfaces, metrics := "INTERFACES.md", filepath.Join("operate", "metrics.md")
+	tests := []struct {
+		name  string
+		page  string
+		row   string
+		names []string
+	}{
+		{"metrics", metrics, "| `keel_%s` |", metricNames(t, "keelinstance/metrics.go")},
+		{"reasons", interfaces, "| `%s` |", constants(t, "refusal.go", "Reason", valueOf)},
+		{"kinds of messages", interfaces, "| `%s` |", constants(t, "message.go", "MessageKind", nameOf)},
+		{"classes", interfaces, "`%s`", constants(t, "class.go", "Class", valueOf)},
+		{"label targets", interfaces, "`%s`", constants(t, "declaration.go", "LabelTarget", valueOf)},
+		{"kinds of things", interfaces, "`%s`", constants(t, "change.go", "Kind", valueOf)},
+		{"packages", "ARCHITECTURE.md", "| `%s` |", packageNames(t)},
 	}
-}
-
-func TestReasonsAreDescribed(t *testing.T) {
-	is := is.New(t)
-	page := read(t, filepath.Join(root, "docs", "INTERFACES.md"))
-	reasons := typedConstants(t, filepath.Join(root, "refusal.go"), "Reason")
-	is.True(len(reasons) > 0) // the reasons are found in the source
-	for _, reason := range reasons {
-		is.True(strings.Contains(page, "| `"+reason+"` |")) // every reason has a row
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			page := read(t, filepath.Join(root, "docs", tt.page))
+			is.True(len(tt.names) > 0) // the names are found in the source
+			for _, name := range tt.names {
+				if row := strings.Replace(tt.row, "%s", name, 1); !strings.Contains(page, row) {
+					t.Errorf("%s does not hold %s", tt.page, row)
+				}
+			}
+		})
 	}
 }
 
@@ -124,28 +137,51 @@
 	return names
 }
 
-// typedConstants returns the values of the string constants of one type.
-func typedConstants(t *testing.T, path, typeName string) []string {
+// constants returns what of gives for each constant of one type.
+func constants(t *testing.T, path, typeName string, of func(*testing.T, *ast.ValueSpec, int) string) []string {
 	t.Helper()
-	var values []string
+	var found []string
 	ast.Inspect(parse(t, path), func(n ast.Node) bool {
 		spec, ok := n.(*ast.ValueSpec)
 		if !ok {
 			return true
 		}
-		if of, ok := spec.Type.(*ast.Ident); ok && of.Name == typeName {
-			for _, v := range spec.Values {
-				values = append(values, text(t, v))
-			}
+		if id, ok := spec.Type.(*ast.Ident); !ok || id.Name != typeName {
+			return true
+		}
+		for i := range spec.Names {
+			found = append(found, of(t, spec, i))
 		}
 		return true
 	})
-	return values
+	return found
+}
+
+func nameOf(_ *testing.T, spec *ast.ValueSpec, i int) string { return spec.Names[i].Name }
+
+func valueOf(t *testing.T, spec *ast.ValueSpec, i int) string {
+	t.Helper()
+	return text(t, spec.Values[i])
+}
+
+// packageNames returns the folders at the module's root with Go files that
+// carry the project's prefix.
+func packageNames(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(root, "keel*", "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, file := range files {
+		names = append(names, filepath.Base(filepath.Dir(file)))
+	}
+	return slices.Compact(names)
 }
 
 func parse(t *testing.T, path string) *ast.File {
 	t.Helper()
-	f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, path), nil, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
