keelsteer: tests of owners, credit, look-ups and shares

Requests on an instance that owns nothing are forwarded to owners, never to one that leaves. Without credit as many requests as the cap allows are served at home, the others are refused as not run with a retry time, and look-ups allow no more. Look-ups name nobody who leaves. An engine that heard another one's vectors does not spend the cap again.

--- /dev/null
+++ b/keelsteer/engine_test.go
@@ -0,0 +1,316 @@
+package keelsteer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelclaim"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
+	"github.com/greengagekeel/greengagekeel/keelendpoint"
+	"github.com/greengagekeel/greengagekeel/keelguard"
+	"github.com/greengagekeel/greengagekeel/keelpeer"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelsteer"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// world is a small system of which the engines under test are a part. Instances
+// a, b and c are in domain near, f is in domain far.
+type world struct {
+	t        *testing.T
+	hub      *keelpeer.MemoryHub
+	log      *logrus.Entry
+	services int
+	cap      float64
+	weights  []keel.DomainWeight
+	// idle lists the instances that are labelled to own nothing.
+	idle    []string
+	leaving map[keel.InstanceName]bool
+	// ran counts the requests that reached each other instance.
+	mu  sync.Mutex
+	ran map[keel.InstanceName]int
+}
+
+func newWorld(t *testing.T) *world {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &world{
+		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Log: log}), log: logrus.NewEntry(log), services: 1, idle: []string{"a"},
+		leaving: map[keel.InstanceName]bool{}, ran: map[keel.InstanceName]int{},
+	}
+}
+
+var names = []keel.InstanceName{"a", "b", "c", "f"}
+
+func instance(name keel.InstanceName) keel.Instance {
+	n := strings.Index("abcf", string(name)) + 1
+	in := keel.Instance{Name: name, Domain: "near", Region: "r1", Incarnation: 1}
+	if name == "f" {
+		in.Domain, in.Region = "far", "r2"
+	}
+	in.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)
+	in.Caller = netip.AddrPortFrom(in.Peer.Addr(), 2)
+	return in
+}
+
+func (w *world) service(i int) keel.ServiceName { return keel.ServiceName(fmt.Sprintf("s%d", i)) }
+
+// snapshot declares the services.
+func (w *world) snapshot() *keeldeclare.Snapshot {
+	d := &keel.Declarations{
+		Domains: []keel.FailureDomain{{Name: "far", Region: "r2"}, {Name: "near", Region: "r1"}},
+		Labels: []keel.LabelRule{{
+			Name: "idle", Target: keel.TargetInstance, Names: w.idle, Set: keel.Labels{keel.LabelDrain: keel.LabelOn},
+		}},
+	}
+	for i := range w.services {
+		d.Services = append(d.Services, keel.Service{Name: w.service(i), AnnounceFrom: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}})
+		d.Selectors = append(d.Selectors, keel.Selector{
+			Name: keel.SelectorName(w.service(i)), Service: w.service(i), Class: keel.ClassLive, Deadline: keel.Duration(time.Minute),
+			Cap: keel.ShiftCap{Percent: w.cap, Window: keel.Duration(time.Hour)}, Weights: w.weights,
+		})
+	}
+	for _, name := range names {
+		d.Instances = append(d.Instances, keel.RegisteredInstance{Name: name, Domain: instance(name).Domain})
+	}
+	return &keeldeclare.Snapshot{Version: 1, Declarations: d, Blocks: keeldeclare.NewBlocks(func(func(netip.Prefix, []keel.SiteName) bool) {})}
+}
+
+func (w *world) view() *keelsteer.View {
+	near, far := keelsteer.Domain{Name: "near"}, keelsteer.Domain{Name: "far"}
+	for _, name := range names {
+		m := keelsteer.Member{Instance: instance(name), Leaving: w.leaving[name]}
+		if name == "f" {
+			far.Members = append(far.Members, m)
+			continue
+		}
+		near.Members = append(near.Members, m)
+	}
+	return &keelsteer.View{Domains: []keelsteer.Domain{near, far}}
+}
+
+// join makes an instance that counts and answers the requests sent to it.
+func (w *world) join(name keel.InstanceName) {
+	tr := w.hub.Join(name, instance(name).Peer)
+	tr.SetStreams(&keelproxy.Receiver{Runner: runner{w, name}, Log: w.log})
+	w.t.Cleanup(tr.Close)
+}
+
+type runner struct {
+	w    *world
+	name keel.InstanceName
+}
+
+// RunRequest reads a request, since streams in memory hold nothing, and answers
+// it.
+func (r runner) RunRequest(_ context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
+	if req.Body != nil {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return nil, err
+		}
+	}
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	r.w.ran[r.name]++
+	return &keelproxy.Answer{Status: 200, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+// engine returns an engine that has made its first plan.
+func (w *world) engine(name keel.InstanceName) (*keelsteer.Engine, *keelpeer.MemoryTransport) {
+	self, snapshot := instance(name), w.snapshot()
+	tr := w.hub.Join(name, self.Peer)
+	w.t.Cleanup(tr.Close)
+	endpoints := keelendpoint.NewService(keelendpoint.ServiceConfig{
+		Directory: keelendpoint.Config{Self: name, Incarnation: 1, Services: func() []keel.Service { return snapshot.Declarations.Services }},
+		Transport: tr, Members: func() []keelendpoint.Member { return nil }, Log: w.log,
+	})
+	for i := range w.services {
+		fs := endpoints.Announce(keel.Announcement{
+			Service: w.service(i), Name: "e", Address: netip.MustParseAddrPort("10.1.0.1:80"), Slots: 4, Incarnation: 1,
+			State: keel.EndpointServing, TTL: keel.MaxAnnounceTTL,
+		})
+		if len(fs) > 0 {
+			w.t.Fatal(fs)
+		}
+	}
+	clock := clockwork.NewFakeClock()
+	return keelsteer.New(keelsteer.Config{
+		Self: self, Declared: func() *keeldeclare.Snapshot { return snapshot }, View: w.view, Endpoints: endpoints, Transport: tr,
+		Claims: keelclaim.New(keelclaim.Config{
+			Self: self, Transport: tr, Clock: clock, Log: w.log, Secret: []byte("secret"), Domains: func() []keel.DomainName { return nil },
+			Holders: func(keel.DomainName) []keelclaim.Set { return nil },
+		}),
+		Guard: keelguard.New(keelguard.Config{Self: self, Transport: tr, Clock: clock, Log: w.log}),
+		Log:   w.log, LookupTTL: time.Second, FirstStart: true,
+	}), tr
+}
+
+// run sends n requests for each service and returns the answers and refusals.
+func (w *world) run(e *keelsteer.Engine, n int) (answered int, refusals []*keel.Refusal) {
+	for i := range w.services * n {
+		answer, err := e.RunRequest(context.Background(), &keelproxy.Request{
+			ID: fmt.Sprint("request-", i), Service: w.service(i % w.services), Method: "PUT", URI: "/", ContentLength: 1, Body: strings.NewReader("x"),
+			Caller: netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}),
+		})
+		if err != nil {
+			refusals = append(refusals, keelproxy.AsRefusal(err))
+			continue
+		}
+		answered++
+		if err := answer.Body.Close(); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	return answered, refusals
+}
+
+func TestRequestsGoToOwners(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		leaving keel.InstanceName
+	}{{"all stay", ""}, {"b leaves", "b"}, {"c leaves", "c"}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.services = 12
+			w.leaving[tt.leaving] = true
+			w.join("b")
+			w.join("c")
+			e, _ := w.engine("a")
+			answered, refusals := w.run(e, 2)
+			is.Equal(answered, 24)
+			is.Equal(len(refusals), 0)
+			is.Equal(w.ran["b"] > 0, tt.leaving != "b")
+			is.Equal(w.ran["c"] > 0, tt.leaving != "c")
+			is.Equal(w.ran["b"]+w.ran["c"], 24)
+		})
+	}
+}
+
+var allFar = []keel.DomainWeight{{Domain: "far", Weight: 1}}
+
+// TestNoCredit sends 100 requests to a domain that grants nothing. What the cap
+// allows is served at home; look-ups before them allow no more.
+func TestNoCredit(t *testing.T) {
+	for _, tt := range []struct {
+		cap           float64
+		lookups, want int
+	}{{0, 0, 0}, {5, 0, 5}, {10, 0, 10}, {10, 500, 10}, {100, 0, 100}} {
+		t.Run(fmt.Sprintf("cap=%v,lookups=%d", tt.cap, tt.lookups), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.cap, w.weights = tt.cap, allFar
+			w.join("b")
+			w.join("c")
+			e, _ := w.engine("a")
+			for range tt.lookups {
+				lookUp(is, e)
+			}
+			answered, refusals := w.run(e, 100)
+			is.Equal(answered, tt.want)
+			for _, r := range refusals {
+				is.Equal(r.Verdict, keel.NotRun)
+				is.Equal(r.Reason, keel.ReasonNoCredit)
+				is.True(r.RetryAfter > 0)
+			}
+			is.Equal(w.ran["f"], 0)
+		})
+	}
+}
+
+func lookUp(is *is.I, e *keelsteer.Engine) keelsteer.LookupAnswer {
+	var fctx fasthttp.RequestCtx
+	fctx.Request.SetRequestURI("/v1/lookup?service=s0")
+	e.HandleLookup(&fctx)
+	var a keelsteer.LookupAnswer
+	is.NoErr(json.Unmarshal(fctx.Response.Body(), &a))
+	return a
+}
+
+func TestLookupNamesNoLeaver(t *testing.T) {
+	for _, tt := range []struct{ leaving, want string }{
+		{"", "b c"}, {"b", "c"}, {"c", "b"},
+	} {
+		t.Run("leaving="+tt.leaving, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.leaving[keel.InstanceName(tt.leaving)] = true
+			e, _ := w.engine("a") // a is labelled to drain
+			seen := map[keel.InstanceName]bool{}
+			for range 50 {
+				for _, in := range lookUp(is, e).Instances {
+					seen[in.Name] = true
+				}
+			}
+			var got []string
+			for _, name := range []keel.InstanceName{"a", "b", "c"} {
+				if seen[name] {
+					got = append(got, string(name))
+				}
+			}
+			is.Equal(strings.Join(got, " "), tt.want)
+		})
+	}
+}
+
+// TestSharesPass lets one engine spend a cap. Another one that hears of it
+// starts from there.
+func TestSharesPass(t *testing.T) {
+	for _, tt := range []struct {
+		heard bool
+		want  int
+	}{{false, 10}, {true, 0}} {
+		t.Run(fmt.Sprint("heard=", tt.heard), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.cap, w.weights, w.idle = 10, allFar, []string{"a", "c"}
+			w.join("b")
+			first, _ := w.engine("a")
+			answered, _ := w.run(first, 100)
+			is.Equal(answered, 10)
+			second, tr := w.engine("c")
+			if tt.heard {
+				w.exchange(first, second, tr)
+			}
+			answered, _ = w.run(second, 100)
+			is.Equal(answered, tt.want)
+		})
+	}
+}
+
+// exchange runs one engine until the other one has handled its share vectors.
+func (w *world) exchange(from, to *keelsteer.Engine, tr *keelpeer.MemoryTransport) {
+	h := &notified{Handler: to, done: make(chan struct{})}
+	tr.Register(keel.KindShares, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = from.Run(ctx) })
+	<-h.done
+	cancel()
+	group.Wait()
+}
+
+// notified tells when its handler has handled a message.
+type notified struct {
+	keel.Handler
+	once sync.Once
+	done chan struct{}
+}
+
+// HandleMessage passes the message on.
+func (n *notified) HandleMessage(ctx context.Context, e keel.Envelope) (keel.Envelope, error) {
+	defer n.once.Do(func() { close(n.done) })
+	return n.Handler.HandleMessage(ctx, e)
+}
