keelsteer: closed domains, settling latency and link use decide shares

Share vectors knew only of domains that can't be reached. Growth pauses where latency has not come to rest, and the used part of the byte budget is charged. Where no domain is open the refusal says so instead of naming the cap.

--- a/keelsteer/divert.go
+++ b/keelsteer/divert.go
@@ -85,6 +85,7 @@
 	there := keelroute.OverflowOption{
 		RoundTrip: p.roundTrip(e.cfg.Self.Region, p.regions[other]),
 		Delay:     roomOf(p.view.domain(other).Rooms, sel.Service).QueueDelay.Std(),
+		LinkUse:   e.links.use(now, p.regions[other]),
 	}
 	if !keelroute.Overflows(here, there, pl.serviceTime()) {
 		return "", false
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -86,6 +86,9 @@
 	lost    map[keel.DomainName]bool
 	credits creditBook
 	links   linkBook
+	// settling holds the latency of each service.
+	settling map[keel.ServiceName]*keelroute.Settling
+	closures closures
 	// exchange and moved are guarded by mu.
 	exchange shareExchange
 	moved    handOvers
@@ -112,6 +115,8 @@
 	e.credits = newCreditBook(cfg.Self.Name)
 	e.links = newLinkBook(cfg.Self.Region)
 	e.exchange = newShareExchange()
+	e.settling = make(map[keel.ServiceName]*keelroute.Settling)
+	e.closures = newClosures()
 	e.moved = newHandOvers()
 	e.silence = newSilenceWatch(cfg.Log)
 	e.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: e.silence})
--- a/keelsteer/links.go
+++ b/keelsteer/links.go
@@ -8,6 +8,7 @@
 
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelroute"
 )
 
 // linkBook holds the byte budgets of the links out of this instance's region.
@@ -19,6 +20,14 @@
 	budgets map[keel.RegionName]*keeladmit.LinkBudget
 	links   map[keel.RegionName]keel.Link
 	senders int
+	sent    map[keel.RegionName]*sentBytes
+}
+
+// sentBytes is what was sent to a region, as a rate.
+type sentBytes struct {
+	bytes int
+	since time.Time
+	rate  keelroute.Average
 }
 
 func newLinkBook(region keel.RegionName) linkBook {
@@ -26,6 +35,7 @@
 		region:  region,
 		budgets: make(map[keel.RegionName]*keeladmit.LinkBudget),
 		links:   make(map[keel.RegionName]keel.Link),
+		sent:    make(map[keel.RegionName]*sentBytes),
 	}
 }
 
@@ -83,7 +93,40 @@
 	if budget == nil {
 		return n, 0
 	}
-	return budget.TakeFor(now, sel, n)
+	granted, wait := budget.TakeFor(now, sel, n)
+	b.sentTo(now, to).bytes += granted
+	return granted, wait
+}
+
+// sentTo returns the count of bytes to a region. The caller holds mu.
+func (b *linkBook) sentTo(now time.Time, to keel.RegionName) *sentBytes {
+	s := b.sent[to]
+	if s == nil {
+		s = &sentBytes{since: now, rate: keelroute.NewAverage(demandOver)}
+		b.sent[to] = s
+	}
+	return s
+}
+
+// use returns the part of this instance's byte budget to a region that is used,
+// from 0 to 1, on an average over time.
+func (b *linkBook) use(now time.Time, to keel.RegionName) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.budgets[to]
+	if budget == nil {
+		return 0
+	}
+	s := b.sentTo(now, to)
+	if took := now.Sub(s.since); took >= shortestReading {
+		s.rate.Observe(now, float64(s.bytes)/took.Seconds())
+		s.bytes, s.since = 0, now
+	}
+	rate := budget.Rate(now)
+	if rate <= 0 {
+		return 1
+	}
+	return min(1, s.rate.Value()/rate)
 }
 
 // pacedBody reads a body no faster than the byte budget of a link allows.
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -89,7 +89,7 @@
 	}
 	domain, ok := e.shares.Pick(now, src, keellookup.BlockKey(r.Caller))
 	if !ok {
-		return "", e.shares.Refusal(now, src)
+		return "", e.noDomain(now, p, src)
 	}
 	return domain, nil
 }
@@ -126,6 +126,7 @@
 // answer ends.
 func (e *Engine) runIn(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request, src keelroute.Source, domain keel.DomainName) (*keelproxy.Answer, error) {
 	done := e.countDemand(src, domain)
+	start := time.Now()
 	var (
 		answer *keelproxy.Answer
 		err    error
@@ -139,6 +140,7 @@
 		done()
 		return nil, err
 	}
+	e.observe(sel.Service, domain, time.Since(start))
 	answer.Body = onClose(answer.Body, done)
 	return answer, nil
 }
--- a/keelsteer/targets.go
+++ b/keelsteer/targets.go
@@ -25,20 +25,27 @@
 		e.shares.SetCap(now, name, sel.Cap)
 	}
 	e.setLost(now, p)
+	e.setClosed(now, p)
 	for src, domains := range e.demand {
 		for _, l := range domains {
 			l.observe(now)
 		}
-		if sel := p.byName[src.Selector]; sel != nil {
-			e.setTarget(now, p, sel, src)
+		sel := p.byName[src.Selector]
+		if sel == nil {
+			continue
 		}
+		before := e.shares.Vector(src)
+		e.setTarget(now, p, sel, src)
+		e.noteGrowth(now, sel.Service, before, e.shares.Vector(src))
 	}
 }
 
-// setLost tells the share vectors which domains can't be reached.
+// setLost tells the share vectors which domains can't be reached or are labelled
+// to drain.
 func (e *Engine) setLost(now time.Time, p *plan) {
 	for domain := range p.regions {
 		lost := domain != e.cfg.Self.Domain && !p.reachable(domain)
+		lost = lost || p.drained(keel.TargetDomain, string(domain), nil)
 		if lost == e.lost[domain] {
 			continue
 		}
@@ -66,7 +73,7 @@
 		Stale:       p.view.Stale,
 	}
 	for _, d := range p.snapshot.Declarations.Domains {
-		in.Domains = append(in.Domains, e.domainLoad(p, sel, src, d))
+		in.Domains = append(in.Domains, e.domainLoad(now, p, sel, src, d))
 	}
 	target := keelroute.Targets(in)
 	if target == nil {
@@ -84,13 +91,15 @@
 	return 0
 }
 
-func (e *Engine) domainLoad(p *plan, sel *keel.Selector, src keelroute.Source, d keel.FailureDomain) keelroute.DomainLoad {
+func (e *Engine) domainLoad(now time.Time, p *plan, sel *keel.Selector, src keelroute.Source, d keel.FailureDomain) keelroute.DomainLoad {
 	in := keelroute.DomainLoad{
 		Domain:    d.Name,
 		Region:    d.Region,
 		RoundTrip: p.roundTrip(src.Region, d.Region),
 		Drain:     p.drained(keel.TargetDomain, string(d.Name), nil),
 		ReportAge: silentAfter,
+		LinkUse:   e.links.use(now, d.Region),
+		Unsettled: e.settlingOf(sel.Service).Unsettled(now, d.Name),
 	}
 	room, age, ok := e.domainRoom(p, sel.Service, d.Name)
 	if !ok {
