keelsteer: a request that may have run is not reported as not run

A GET whose answer broke off is tried again. The worst verdict of all tries is reported now, at the entry and at the owner.

--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -167,26 +167,28 @@
 	}
 	body := trackBody(r)
 	item := keeladmit.Item{Class: sel.Class, Deadline: r.Deadline, Labels: sel.Endpoints, Selector: sel.Name}
+	var failed error
 	for try := 1; ; try++ {
 		retry, err := e.guard(ctx, r, &item)
 		if err != nil {
-			return nil, err
+			return nil, outcome(failed, err)
 		}
 		if item.Avoid != "" && !pl.hasOther(item.Avoid) {
 			e.cfg.Guard.NotStarted(keelguard.ID(r.Fingerprint))
-			return nil, avoided(sel, item.Avoid)
+			return nil, outcome(failed, avoided(sel, item.Avoid))
 		}
 		t, refusal := pl.acquire(ctx, item)
 		if refusal != nil {
 			e.cfg.Guard.NotStarted(keelguard.ID(r.Fingerprint))
-			return nil, refusal
+			return nil, outcome(failed, refusal)
 		}
 		answer, err := e.dispatch(ctx, pl, t, r)
 		if err == nil {
 			return answer, nil
 		}
+		failed = outcome(failed, err)
 		if try == maxTries || !retry || !pl.hasOther(t.ID.Name) || !e.mayRetry(ctx, r, err, body.touched()) {
-			return nil, err
+			return nil, failed
 		}
 		item.Avoid = t.ID.Name
 	}
--- a/keelsteer/engine_test.go
+++ b/keelsteer/engine_test.go
@@ -38,9 +38,11 @@
 	// idle lists the instances that are labelled to own nothing.
 	idle    []string
 	leaving map[keel.InstanceName]bool
-	// ran counts the requests that reached each other instance.
-	mu  sync.Mutex
-	ran map[keel.InstanceName]int
+	// ran counts the requests that reached each other instance, which fails
+	// them with the verdicts in turn.
+	mu       sync.Mutex
+	ran      map[keel.InstanceName]int
+	verdicts []keel.Verdict
 }
 
 func newWorld(t *testing.T) *world {
@@ -104,26 +106,36 @@
 // join makes an instance that counts and answers the requests sent to it.
 func (w *world) join(name keel.InstanceName) {
 	tr := w.hub.Join(name, instance(name).Peer)
-	tr.SetStreams(&keelproxy.Receiver{Runner: runner{w, name}, Log: w.log})
+	tr.SetStreams(readFirst{&keelproxy.Receiver{Runner: runner{w, name}, Log: w.log}})
 	w.t.Cleanup(tr.Close)
 }
 
+// readFirst reads a request without a body to its end before it is run, since
+// streams in memory hold nothing.
+type readFirst struct{ keel.StreamHandler }
+
+// HandleStream runs the request of one stream.
+func (h readFirst) HandleStream(ctx context.Context, e keel.Envelope, s keel.Stream) {
+	if _, err := io.Copy(io.Discard, s); err != nil {
+		s.Cancel()
+		return
+	}
+	h.StreamHandler.HandleStream(ctx, e, s)
+}
+
 type runner struct {
 	w    *world
 	name keel.InstanceName
 }
 
-// RunRequest reads a request, since streams in memory hold nothing, and answers
-// it.
-func (r runner) RunRequest(_ context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
-	if req.Body != nil {
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return nil, err
-		}
-	}
+// RunRequest answers or refuses a request.
+func (r runner) RunRequest(context.Context, *keelproxy.Request) (*keelproxy.Answer, error) {
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
 	r.w.ran[r.name]++
+	if n := len(r.w.verdicts); n > 0 {
+		return nil, keel.Refuse(r.w.verdicts[(r.w.ran[r.name]-1)%n], keel.ReasonEndpointFailed, 0, "test")
+	}
 	return &keelproxy.Answer{Status: 200, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
 
@@ -161,7 +173,7 @@
 func (w *world) run(e *keelsteer.Engine, n int) (answered int, refusals []*keel.Refusal) {
 	for i := range w.services * n {
 		answer, err := e.RunRequest(context.Background(), &keelproxy.Request{
-			ID: fmt.Sprint("request-", i), Service: w.service(i % w.services), Method: "PUT", URI: "/", ContentLength: 1, Body: strings.NewReader("x"),
+			ID: fmt.Sprint("request-", i), Service: w.service(i % w.services), Method: "GET", URI: "/",
 			Caller: netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}),
 		})
 		if err != nil {
@@ -199,6 +211,32 @@
 	}
 }
 
+// TestVerdictOfTries lets an instance refuse each try of a request. A request
+// that may have run in one of them is not reported as not run.
+func TestVerdictOfTries(t *testing.T) {
+	for _, tt := range []struct {
+		verdicts []keel.Verdict
+		want     keel.Verdict
+	}{
+		{[]keel.Verdict{keel.NotRun}, keel.NotRun},
+		{[]keel.Verdict{keel.MayHaveRun, keel.NotRun, keel.NotRun}, keel.MayHaveRun},
+		{[]keel.Verdict{keel.NotRun, keel.MayHaveRun, keel.NotRun}, keel.MayHaveRun},
+	} {
+		t.Run(fmt.Sprint(tt.verdicts), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.leaving["c"] = true
+			w.join("b")
+			e, _ := w.engine("a")
+			w.run(e, 100) // fills the retry budget
+			w.ran["b"], w.verdicts = 0, tt.verdicts
+			_, refusals := w.run(e, 1)
+			is.Equal(refusals[0].Verdict, tt.want)
+			is.Equal(w.ran["b"], 3)
+		})
+	}
+}
+
 var allFar = []keel.DomainWeight{{Domain: "far", Weight: 1}}
 
 // TestNoCredit sends 100 requests to a domain that grants nothing. What the cap
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -56,21 +56,32 @@
 	src := keelroute.Source{Selector: sel.Name, Region: r.Source}
 	body := trackBody(r)
 	e.countRequest()
+	var failed error
 	for try := 1; ; try++ {
 		domain, refusal := e.pick(p, sel, src, r)
 		if refusal != nil {
-			return nil, refusal
+			return nil, outcome(failed, refusal)
 		}
 		answer, err := e.runChosen(ctx, p, sel, r, src, domain, body)
 		if err == nil {
 			return answer, nil
 		}
+		failed = outcome(failed, err)
 		if try == maxTries || !e.mayRetry(ctx, r, err, body.touched()) {
-			return nil, err
+			return nil, failed
 		}
 	}
 }
 
+// outcome returns the error to report for a request that was tried again. One
+// that may have run once is not reported as not run because a later try did not.
+func outcome(before, err error) error {
+	if before != nil && keel.VerdictOf(before) != keel.NotRun && keel.VerdictOf(err) == keel.NotRun {
+		return before
+	}
+	return err
+}
+
 func (e *Engine) countRequest() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
