--- /dev/null
+++ b/keelcapacity/change.go
@@ -0,0 +1,133 @@
+package keelcapacity
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keellocal"
+	"github.com/greengagekeel/greengagekeel/keellookup"
+)
+
+// changesMeasured is how many changes are timed at each size.
+const changesMeasured = 40
+
+const (
+	lowestMillis  = 1
+	highestMillis = 60_000
+	digits        = 3
+)
+
+// InForceTime measures the time from a change's submission until it is in force
+// at every instance, against the number of instances.
+func InForceTime(ctx context.Context, cfg Config) ([]Series, error) {
+	out := []Series{
+		{Name: "change in force everywhere, p50", Unit: "ms", Axis: "instances", Target: 1600},
+		{Name: "change in force everywhere, p99", Unit: "ms", Axis: "instances", Target: 1600},
+	}
+	for _, s := range []shape{{1, 3}, {2, 3}, {4, 3}, {6, 3}} {
+		hist := hdrhistogram.New(lowestMillis, highestMillis, digits)
+		err := cfg.run(ctx, s, func(ctx context.Context, system *keellocal.System) error {
+			time.Sleep(settlePeriod)
+			return changeOften(ctx, system, hist)
+		})
+		if err != nil {
+			return nil, err
+		}
+		for i, q := range []float64{50, 99} {
+			out[i].X = append(out[i].X, float64(s.domains*s.size))
+			out[i].Y = append(out[i].Y, float64(hist.ValueAtQuantile(q)))
+		}
+	}
+	return out, nil
+}
+
+func changeOften(ctx context.Context, system *keellocal.System, hist *hdrhistogram.Histogram) error {
+	base := keel.Version(1)
+	for n := range changesMeasured {
+		name := fmt.Sprintf("region-%d", n)
+		start := time.Now()
+		o, err := system.Submit(ctx, keel.Change{
+			ID: keel.ChangeID(name), Base: base, Author: "capacity", Time: start.UTC(),
+			Ops: []keel.Op{{Action: keel.OpPut, Kind: keel.KindRegion, Name: name, Region: &keel.Region{Name: keel.RegionName(name)}}},
+		})
+		if err != nil {
+			return err
+		}
+		base = o.Version
+		_ = hist.RecordValue(time.Since(start).Milliseconds()) // out of range only past a minute
+	}
+	return nil
+}
+
+// Blocks measures the look-up table against the number of client blocks.
+func Blocks(context.Context, Config) ([]Series, error) {
+	out := []Series{
+		{Name: "memory of the look-up table", Unit: "MB", Axis: "client blocks", Target: TargetBlocks},
+		{Name: "time to build the look-up table", Unit: "ms", Axis: "client blocks", Target: TargetBlocks},
+		{Name: "one look-up in the table", Unit: "ns", Axis: "client blocks", Target: TargetBlocks},
+	}
+	for _, n := range []int{100_000, 300_000, 600_000, TargetBlocks} {
+		before := heapBytes()
+		start := time.Now()
+		table := keellookup.NewTable(blocks(n))
+		built := time.Since(start)
+		mb := float64(heapBytes()-before) / (1 << 20)
+		for i, y := range []float64{mb, float64(built.Milliseconds()), float64(findTime(table, n).Nanoseconds())} {
+			out[i].X = append(out[i].X, float64(n))
+			out[i].Y = append(out[i].Y, y)
+		}
+	}
+	return out, nil
+}
+
+// sitesOfBlock is how many sites each measured block prefers.
+const (
+	sites        = 440
+	sitesOfBlock = 3
+)
+
+// blocks yields n blocks, each an IPv4 /24, with lists out of 440 sites.
+func blocks(n int) func(yield func(netip.Prefix, []keel.SiteName) bool) {
+	return func(yield func(netip.Prefix, []keel.SiteName) bool) {
+		for i := range n {
+			list := make([]keel.SiteName, sitesOfBlock)
+			for j := range list {
+				list[j] = keel.SiteName(fmt.Sprintf("site-%d", (i+j)%sites))
+			}
+			if !yield(netip.PrefixFrom(blockAddr(i), 24), list) {
+				return
+			}
+		}
+	}
+}
+
+// spread makes neighbouring numbers lie far apart among the blocks.
+const spread = 7
+
+func blockAddr(i int) netip.Addr {
+	v := uint32(i*spread) << 8
+	return netip.AddrFrom4([4]byte{byte(v >> 24), byte(v >> 16), byte(v >> 8), 1}).Prev()
+}
+
+// lookUps is how many look-ups are timed.
+const lookUps = 1_000_000
+
+func findTime(t *keellookup.Table, n int) time.Duration {
+	start := time.Now()
+	for i := range lookUps {
+		t.Find(blockAddr(i * 31 % n).Next())
+	}
+	return time.Since(start) / lookUps
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	return int64(mem.HeapAlloc)
+}
--- /dev/null
+++ b/keelcapacity/idle.go
@@ -0,0 +1,179 @@
+package keelcapacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keellocal"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+)
+
+// Config configures the measurements.
+type Config struct {
+	// Window is how long idle instances are watched.
+	Window time.Duration
+	Log    *logrus.Logger
+}
+
+// Sizes of the target.
+const (
+	TargetDomainSize = 35 // 1,600 instances in 46 failure domains
+	TargetDomains    = 46
+	TargetBlocks     = 1_100_000
+)
+
+// headerBytes is what UDP and IP add to a packet.
+const headerBytes = 28
+
+const (
+	formTimeout  = 60 * time.Second
+	settlePeriod = 3 * time.Second
+)
+
+// usage is what one instance of a system takes.
+type usage struct {
+	cpuPercent     float64
+	bytesPerSecond float64
+	heapMB         float64
+}
+
+// IdleByDomainSize measures idle instances against the instances of one failure
+// domain.
+func IdleByDomainSize(ctx context.Context, cfg Config) ([]Series, error) {
+	return cfg.idle(ctx, "instances in the domain", TargetDomainSize, []shape{{1, 3}, {1, 6}, {1, 12}, {1, 24}}, func(s shape) int { return s.size })
+}
+
+// IdleByDomains measures idle instances against the number of failure domains.
+func IdleByDomains(ctx context.Context, cfg Config) ([]Series, error) {
+	return cfg.idle(ctx, "failure domains", TargetDomains, []shape{{2, 3}, {4, 3}, {8, 3}, {12, 3}}, func(s shape) int { return s.domains })
+}
+
+// shape is how many failure domains there are, and instances in each.
+type shape struct{ domains, size int }
+
+func (cfg Config) idle(ctx context.Context, axis string, target float64, shapes []shape, x func(shape) int) ([]Series, error) {
+	out := []Series{
+		{Name: "idle processor time", Unit: "% of a core", Axis: axis, Target: target},
+		{Name: "idle traffic, sent and received", Unit: "bytes/s", Axis: axis, Target: target},
+		{Name: "heap", Unit: "MB", Axis: axis, Target: target},
+	}
+	for _, s := range shapes {
+		u, err := cfg.measure(ctx, s)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%d domains of %d instances", s.domains, s.size)
+		}
+		for i, y := range []float64{u.cpuPercent, u.bytesPerSecond, u.heapMB} {
+			out[i].X = append(out[i].X, float64(x(s)))
+			out[i].Y = append(out[i].Y, y)
+		}
+	}
+	return out, nil
+}
+
+func (s shape) places() []keellocal.Place {
+	var out []keellocal.Place
+	for d := range s.domains {
+		for i := range s.size {
+			domain := keel.DomainName(fmt.Sprintf("d%02d", d))
+			out = append(out, keellocal.Place{
+				Name: keel.InstanceName(fmt.Sprintf("%s-%02d", domain, i)), Domain: domain, Region: "r",
+				Voter: d == 0 && i < 3,
+			})
+		}
+	}
+	return out
+}
+
+func (s shape) declarations() *keel.Declarations {
+	d := &keel.Declarations{Regions: []keel.Region{{Name: "r"}}}
+	for _, p := range s.places() {
+		if len(d.Domains) == 0 || d.Domains[len(d.Domains)-1].Name != p.Domain {
+			d.Domains = append(d.Domains, keel.FailureDomain{Name: p.Domain, Region: p.Region})
+		}
+		d.Instances = append(d.Instances, keel.RegisteredInstance{Name: p.Name, Domain: p.Domain})
+	}
+	return d
+}
+
+// run starts a system of that shape, waits until declarations are in force
+// everywhere, and calls f.
+func (cfg Config) run(ctx context.Context, s shape, f func(context.Context, *keellocal.System) error) error {
+	dir, err := os.MkdirTemp("", "keelcapacity-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	system, err := keellocal.New(keellocal.Config{Places: s.places(), Dir: dir, Log: cfg.Log})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	system.Run(ctx, &group)
+	formCtx, stop := context.WithTimeout(ctx, formTimeout)
+	defer stop()
+	if err := system.Declare(formCtx, s.declarations()); err != nil {
+		return err
+	}
+	return f(ctx, system)
+}
+
+func (cfg Config) measure(ctx context.Context, s shape) (usage, error) {
+	var u usage
+	err := cfg.run(ctx, s, func(ctx context.Context, system *keellocal.System) error {
+		time.Sleep(settlePeriod)
+		bytes, err := traffic(ctx, system)
+		if err != nil {
+			return err
+		}
+		cpu, start := processorTime(), time.Now()
+		time.Sleep(cfg.Window)
+		cpu, elapsed := processorTime()-cpu, time.Since(start)
+		after, err := traffic(ctx, system)
+		if err != nil {
+			return err
+		}
+		runtime.GC()
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		n := float64(len(system.Instances))
+		u = usage{
+			cpuPercent:     100 * cpu.Seconds() / elapsed.Seconds() / n,
+			bytesPerSecond: (after - bytes) / elapsed.Seconds() / n,
+			heapMB:         float64(mem.HeapAlloc) / (1 << 20) / n,
+		}
+		return nil
+	})
+	return u, err
+}
+
+// traffic returns the bytes that all instances sent and received on their open
+// connections, with the headers of UDP and IP.
+func traffic(ctx context.Context, system *keellocal.System) (float64, error) {
+	total := 0.0
+	for i := range system.Instances {
+		d, err := system.Dump(ctx, i)
+		if err != nil {
+			return 0, err
+		}
+		for _, l := range d.Links {
+			total += float64(l.BytesSent + l.BytesReceived + headerBytes*(l.PacketsSent+l.PacketsReceived))
+		}
+	}
+	return total, nil
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // fails only for a bad argument
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
