--- a/declaration.go
+++ b/declaration.go
@@ -142,11 +142,16 @@
 	Sites []SiteName `json:"sites" cbor:"2,keyasint"`
 }
 
-// RegisteredInstance makes an instance a holder of its failure domain's claims.
-// The majority that a claim needs is counted over the registered instances.
+// RegisteredInstance makes an instance known. Parts of links and of endpoints'
+// slots are counted over the registered instances, whether they are alive or
+// not.
 type RegisteredInstance struct {
 	Name   InstanceName `json:"name" cbor:"1,keyasint"`
 	Domain DomainName   `json:"domain" cbor:"2,keyasint"`
+	// NoClaims keeps the instance from holding claims of its failure domain.
+	// The majority that a claim needs is counted over the others. Three or five
+	// holders are enough for a domain of any size.
+	NoClaims bool `json:"no_claims,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Limits on declared values.
--- a/keelcapacity/idle.go
+++ b/keelcapacity/idle.go
@@ -29,6 +29,9 @@
 	TargetBlocks     = 1_100_000
 )
 
+// claimHolders is how many instances of a failure domain hold its claims.
+const claimHolders = 3
+
 // headerBytes is what UDP and IP add to a packet.
 const headerBytes = 28
 
@@ -93,11 +96,15 @@
 
 func (s shape) declarations() *keel.Declarations {
 	d := &keel.Declarations{Regions: []keel.Region{{Name: "r"}}}
+	holders := make(map[keel.DomainName]int)
 	for _, p := range s.places() {
 		if len(d.Domains) == 0 || d.Domains[len(d.Domains)-1].Name != p.Domain {
 			d.Domains = append(d.Domains, keel.FailureDomain{Name: p.Domain, Region: p.Region})
 		}
-		d.Instances = append(d.Instances, keel.RegisteredInstance{Name: p.Name, Domain: p.Domain})
+		d.Instances = append(d.Instances, keel.RegisteredInstance{
+			Name: p.Name, Domain: p.Domain, NoClaims: holders[p.Domain] >= claimHolders,
+		})
+		holders[p.Domain]++
 	}
 	return d
 }
--- a/keelcommand/declare.go
+++ b/keelcommand/declare.go
@@ -169,6 +169,9 @@
 	if err != nil {
 		return nil, nil, 0, callError(err)
 	}
+	if have.Partial {
+		return nil, nil, 0, fail(ExitFailed, errors.New("the instance does not hold all client blocks yet"), "ask another instance, or wait until its dump shows no refill")
+	}
 	return c, keeldeclare.Diff(have.Declarations, want), have.Version, nil
 }
 
--- a/keelendpoint/directory.go
+++ b/keelendpoint/directory.go
@@ -92,10 +92,20 @@
 	Records []Record `cbor:"4,keyasint,omitempty" json:"records"`
 	// Brief says that only the number of the set is told, not its records.
 	Brief bool `cbor:"5,keyasint,omitempty" json:"brief,omitempty"`
+	// Others tells in a brief set the numbers of the other registrars' sets, as
+	// far as the sender has them.
+	Others []SetNumber `cbor:"6,keyasint,omitempty" json:"others,omitempty"`
 	// received is when the set arrived.
 	received time.Time
 }
 
+// SetNumber is the number of one registrar's set.
+type SetNumber struct {
+	Registrar   keel.InstanceName `cbor:"1,keyasint" json:"registrar"`
+	Incarnation uint64            `cbor:"2,keyasint" json:"incarnation"`
+	Seq         uint64            `cbor:"3,keyasint" json:"seq"`
+}
+
 // maxSetRecords bounds the endpoints of one registrar.
 const maxSetRecords = 10_000
 
@@ -247,6 +257,7 @@
 func (d *Directory) Own(now time.Time, brief bool) Set {
 	s := Set{Registrar: d.cfg.Self, Incarnation: d.cfg.Incarnation, Seq: d.seq, Brief: brief}
 	if brief {
+		s.Others = d.numbers()
 		return s
 	}
 	for _, rec := range d.own {
@@ -261,23 +272,56 @@
 	return s
 }
 
-// Merge takes the set of another registrar. It reports whether the records of
-// that set are missing here, so that they must be fetched.
-func (d *Directory) Merge(now time.Time, s Set) (fetch bool) {
-	if s.Registrar == d.cfg.Self {
-		return false
+func (d *Directory) numbers() []SetNumber {
+	var out []SetNumber
+	for name, s := range d.sets {
+		if _, dead := d.deadSince[name]; !dead {
+			out = append(out, s.number())
+		}
 	}
-	old, known := d.sets[s.Registrar]
-	if known && (s.Incarnation < old.Incarnation || s.Incarnation == old.Incarnation && s.Seq < old.Seq) {
-		return false
+	slices.SortFunc(out, func(a, b SetNumber) int { return strings.Compare(string(a.Registrar), string(b.Registrar)) })
+	return out
+}
+
+func (s *Set) number() SetNumber {
+	return SetNumber{Registrar: s.Registrar, Incarnation: s.Incarnation, Seq: s.Seq}
+}
+
+// Merge takes the set of another registrar. Of a brief set it returns the
+// registrars whose newer sets are missing here, so that they must be fetched.
+func (d *Directory) Merge(now time.Time, s Set) (fetch []keel.InstanceName) {
+	if !s.Brief {
+		d.put(now, s)
+		return nil
+	}
+	for _, n := range append(s.Others, s.number()) {
+		if d.newer(n) {
+			fetch = append(fetch, n.Registrar)
+		}
 	}
-	same := known && s.Incarnation == old.Incarnation && s.Seq == old.Seq
-	if s.Brief {
-		return !same
+	return fetch
+}
+
+func (d *Directory) put(now time.Time, s Set) {
+	old, known := d.sets[s.Registrar]
+	n := s.number()
+	if s.Registrar == d.cfg.Self || known && n != old.number() && !d.newer(n) {
+		return
 	}
 	s.received = now
 	d.sets[s.Registrar] = s
-	return false
+}
+
+// newer reports whether the number belongs to a newer set than the one here.
+func (d *Directory) newer(n SetNumber) bool {
+	if n.Registrar == d.cfg.Self {
+		return false
+	}
+	old, known := d.sets[n.Registrar]
+	if !known || n.Incarnation != old.Incarnation {
+		return !known || n.Incarnation > old.Incarnation
+	}
+	return n.Seq > old.Seq
 }
 
 // Entries returns the merged view, in the order of the endpoints' names. Of
--- a/keelendpoint/service.go
+++ b/keelendpoint/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -35,6 +36,9 @@
 	tickPeriod  = 250 * time.Millisecond
 	briefPeriod = time.Second
 	pushTimeout = time.Second
+	// briefFanOut is how many instances are told the numbers of the sets each
+	// time, so that the cost does not grow with the domain.
+	briefFanOut = 3
 )
 
 // Service keeps a [Directory] in step with the other instances of the failure
@@ -133,13 +137,23 @@
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	var group conc.WaitGroup
-	for _, m := range s.cfg.Members() {
+	for _, m := range s.receivers(brief) {
 		p := pusher{service: s, ctx: ctx, member: m, envelope: keel.Envelope{Kind: keel.KindAnnounce, Body: body}}
 		group.Go(p.run)
 	}
 	group.Wait()
 }
 
+// receivers returns all other instances of the domain, or a few drawn ones.
+func (s *Service) receivers(brief bool) []Member {
+	members := s.cfg.Members()
+	if !brief || len(members) <= briefFanOut {
+		return members
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:briefFanOut]
+}
+
 // pusher sends one set to one instance.
 type pusher struct {
 	service  *Service
@@ -168,8 +182,10 @@
 	s.mu.Lock()
 	fetch := s.dir.Merge(time.Now(), set)
 	s.mu.Unlock()
-	if fetch {
-		return keel.Envelope{}, s.fetch(ctx, set.Registrar)
+	for _, registrar := range fetch {
+		if err := s.fetch(ctx, registrar); err != nil {
+			return keel.Envelope{}, err
+		}
 	}
 	if !set.Brief {
 		s.cfg.Changed()
--- a/keelinstance/control.go
+++ b/keelinstance/control.go
@@ -87,7 +87,7 @@
 // Declared implements [keeloperate.Control].
 func (c *control) Declared() keeloperate.Declared {
 	s := c.replica.Current()
-	return keeloperate.Declared{Version: s.Version, Declarations: s.Whole()}
+	return keeloperate.Declared{Version: s.Version, Declarations: s.Whole(), Partial: s.Partial}
 }
 
 // Submit implements [keeloperate.Control]. It keeps trying to reach the leader
--- a/keelinstance/currency.go
+++ b/keelinstance/currency.go
@@ -72,7 +72,7 @@
 
 func isCurrent(view *keelmember.View, v keel.Version, now time.Time) bool {
 	age, heard := view.Staleness(now)
-	if !heard || age > currencyAge {
+	if !heard || age > currencyAge || view.QuorumVersion > v {
 		return false
 	}
 	for _, m := range view.Domain {
--- a/keelinstance/holders.go
+++ b/keelinstance/holders.go
@@ -35,7 +35,9 @@
 func (h *holderSets) update(now time.Time, d *keel.Declarations, seen bool) {
 	next := make(map[keel.DomainName][]keel.InstanceName)
 	for _, in := range d.Instances {
-		next[in.Domain] = append(next[in.Domain], in.Name)
+		if !in.NoClaims {
+			next[in.Domain] = append(next[in.Domain], in.Name)
+		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/keelinstance/metrics.go
+++ b/keelinstance/metrics.go
@@ -29,8 +29,9 @@
 	closer   interface{ Close() error }
 	reporter prometheus.Reporter
 
-	mu     sync.Mutex
-	logged map[keel.Reason]time.Time
+	mu       sync.Mutex
+	logged   map[keel.Reason]time.Time
+	requests map[requestKey]requestScope
 }
 
 func newMetrics(self keel.Instance) *metrics {
@@ -45,34 +46,59 @@
 
 		OmitCardinalityMetrics: true,
 	}, metricsPeriod)
-	return &metrics{scope: scope, closer: closer, reporter: reporter, logged: make(map[keel.Reason]time.Time)}
+	return &metrics{
+		scope: scope, closer: closer, reporter: reporter,
+		logged: make(map[keel.Reason]time.Time), requests: make(map[requestKey]requestScope),
+	}
 }
 
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
+// requestKey holds the tags of a counted request.
+type requestKey struct {
+	service  keel.ServiceName
+	selector keel.SelectorName
+	status   int
+	verdict  string
+	reason   keel.Reason
+}
+
+// requestScope counts the requests of one key.
+type requestScope struct {
+	count   tally.Counter
+	seconds tally.Histogram
+}
+
 // request counts a request that has ended.
 func (m *metrics) request(res keelproxy.Result) {
-	tags := map[string]string{
-		"service":  string(res.Request.Service),
-		"selector": string(res.Request.Selector),
-		"status":   strconv.Itoa(res.Status / 100 * 100),
-		"verdict":  "answered",
-	}
-	if res.Request.Selector == "" {
-		tags["service"] = "" // names that callers made up would never end
+	k := requestKey{selector: res.Request.Selector, status: res.Status / 100 * 100, verdict: "answered"}
+	if k.selector != "" {
+		k.service = res.Request.Service // names that callers made up would never end
 	}
 	if res.Refusal != nil {
-		tags["verdict"] = res.Refusal.Verdict.String()
-		tags["reason"] = string(res.Refusal.Reason)
-	} else {
-		tags["reason"] = ""
+		k.verdict, k.reason = res.Refusal.Verdict.String(), res.Refusal.Reason
 	}
 	if res.Broken {
-		tags["verdict"] = "broken"
+		k.verdict = "broken"
+	}
+	s := m.requestScope(k)
+	s.count.Inc(1)
+	s.seconds.RecordDuration(res.Elapsed)
+}
+
+func (m *metrics) requestScope(k requestKey) requestScope {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.requests[k]; ok {
+		return s
 	}
-	s := m.scope.Tagged(tags)
-	s.Counter("requests").Inc(1)
-	s.Histogram("request_seconds", latencyBuckets).RecordDuration(res.Elapsed)
+	scope := m.scope.Tagged(map[string]string{
+		"service": string(k.service), "selector": string(k.selector),
+		"status": strconv.Itoa(k.status), "verdict": k.verdict, "reason": string(k.reason),
+	})
+	s := requestScope{count: scope.Counter("requests"), seconds: scope.Histogram("request_seconds", latencyBuckets)}
+	m.requests[k] = s
+	return s
 }
 
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 16)
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -46,7 +46,7 @@
 		Version: in.control.replica.Current().Version,
 		Leaving: in.leaving.Load(),
 	}
-	l.Registered = slices.Contains(in.registeredHere(), in.self.Name)
+	l.Registered = slices.Contains(in.holdersHere(), in.self.Name)
 	if in.control.node != nil {
 		l.QuorumBacked = quorumHeard(in.control.node.Status())
 	}
@@ -166,10 +166,12 @@
 	return out
 }
 
-func (in *Instance) registeredHere() []keel.InstanceName {
+// holdersHere returns the instances that hold the claims of the own failure
+// domain.
+func (in *Instance) holdersHere() []keel.InstanceName {
 	var out []keel.InstanceName
 	for _, r := range in.declarations().Instances {
-		if r.Domain == in.self.Domain {
+		if r.Domain == in.self.Domain && !r.NoClaims {
 			out = append(out, r.Name)
 		}
 	}
--- a/keeloperate/app.go
+++ b/keeloperate/app.go
@@ -34,6 +34,9 @@
 type Declared struct {
 	Version      keel.Version       `json:"version"`
 	Declarations *keel.Declarations `json:"declarations"`
+	// Partial says that client blocks are still missing here, since the
+	// instance started a short while ago.
+	Partial bool `json:"partial,omitempty"`
 }
 
 // Check reports missing declarations.
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -204,8 +204,11 @@
 
 func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
 
+// answerFields are those fields of an answer that are for the system itself.
+var answerFields = []string{HeaderRequestID}
+
 func answerOf(resp *fasthttp.Response, body io.ReadCloser) *Answer {
-	f := newHeaderFilter(string(resp.Header.Peek("Connection")))
+	f := newHeaderFilter(string(resp.Header.Peek("Connection")), answerFields)
 	for name, value := range resp.Header.All() {
 		f.add(name, value)
 	}
@@ -215,7 +218,7 @@
 	}
 	return &Answer{
 		Status:        resp.StatusCode(),
-		Header:        without(f.fields, HeaderRequestID),
+		Header:        f.fields,
 		ContentLength: length,
 		Body:          body,
 	}
@@ -252,7 +255,7 @@
 	alive := b.stop()
 	fasthttp.ReleaseResponse(b.resp)
 	conn := b.conn
-	keep := alive && b.reusable && b.atEnd && conn.r.Buffered() == 0 && quiet(conn.nc)
+	keep := alive && b.reusable && b.atEnd && conn.r.Buffered() == 0
 	if !keep {
 		conn.close()
 		return nil
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -172,17 +172,18 @@
 	if err := parseTimeout(r, string(h.Peek(HeaderTimeout))); err != nil {
 		return r, badRequest("header %s: %v", HeaderTimeout, err)
 	}
-	filter := newHeaderFilter(string(h.Peek("Connection")))
+	filter := newHeaderFilter(string(h.Peek("Connection")), requestFields)
 	for name, value := range h.All() {
 		filter.add(name, value)
 	}
-	for _, name := range []string{"Host", HeaderTimeout, HeaderRequestID, HeaderTicket, HeaderService} {
-		filter.fields = without(filter.fields, name)
-	}
 	r.Header = filter.fields
 	return r, nil
 }
 
+// requestFields are those fields of a request that are for the system itself or
+// that it sets anew.
+var requestFields = []string{"Host", HeaderTimeout, HeaderRequestID, HeaderTicket, HeaderService}
+
 func badRequest(format string, args ...any) *keel.Refusal {
 	return keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, format, args...)
 }
--- a/keelproxy/header.go
+++ b/keelproxy/header.go
@@ -1,9 +1,6 @@
 package keelproxy
 
-import (
-	"slices"
-	"strings"
-)
+import "strings"
 
 // hopByHop lists fields that concern one connection only, in lower case.
 var hopByHop = []string{
@@ -14,15 +11,20 @@
 
 // headerFilter collects the fields that go on to the next process.
 type headerFilter struct {
+	// own lists the fields that are meant for this process.
+	own []string
 	// named lists the fields that the Connection field names.
 	named  []string
 	fields []Field
 }
 
 // newHeaderFilter returns a filter for a message whose Connection field has the
-// given value.
-func newHeaderFilter(connection string) headerFilter {
-	var f headerFilter
+// given value. Fields named in own are left out, too.
+func newHeaderFilter(connection string, own []string) headerFilter {
+	f := headerFilter{own: own}
+	if connection == "" {
+		return f
+	}
 	for name := range strings.SplitSeq(connection, ",") {
 		name = strings.ToLower(strings.TrimSpace(name))
 		if name != "" {
@@ -33,13 +35,22 @@
 }
 
 func (f *headerFilter) add(name, value []byte) {
-	lower := strings.ToLower(string(name))
-	if slices.Contains(hopByHop, lower) || slices.Contains(f.named, lower) {
+	if matchesAny(hopByHop, name) || matchesAny(f.own, name) || matchesAny(f.named, name) {
 		return
 	}
 	f.fields = append(f.fields, Field{Name: string(name), Value: string(value)})
 }
 
+// matchesAny reports whether name is in list, in any case.
+func matchesAny(list []string, name []byte) bool {
+	for _, s := range list {
+		if len(s) == len(name) && strings.EqualFold(s, string(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Lookup returns the first value of the field name, in any case.
 func Lookup(fields []Field, name string) (string, bool) {
 	for _, f := range fields {
@@ -49,10 +60,3 @@
 	}
 	return "", false
 }
-
-// without returns fields less every field of that name.
-func without(fields []Field, name string) []Field {
-	return slices.DeleteFunc(slices.Clone(fields), func(f Field) bool {
-		return strings.EqualFold(f.Name, name)
-	})
-}
