keelsteer: end a request once when its answer's body is closed twice

A HEAD request closed the body twice, so the guard heard of its end twice and panicked, which stopped the instance. The caller contract test, which sends the same requests to an endpoint and through an instance, showed it.

--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -64,8 +64,9 @@
 // is closed.
 type observedBody struct {
 	io.ReadCloser
-	x   *dispatched
-	err error
+	x    *dispatched
+	err  error
+	once sync.Once
 }
 
 // Read notes whether the answer broke off.
@@ -77,9 +78,15 @@
 	return n, err
 }
 
-// Close closes the body and gives the slot back.
+// Close closes the body and gives the slot back. Further calls do nothing more:
+// the server closes the body of an answer to HEAD twice.
 func (b *observedBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
+
+func (b *observedBody) end() {
 	switch {
 	case b.err != nil && b.x.ctx.Err() == nil:
 		b.x.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
@@ -90,5 +97,4 @@
 		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
 		b.x.end(keeladmit.OutcomeOK)
 	}
-	return err
 }
