--- a/keelcapacity/idle.go
+++ b/keelcapacity/idle.go
@@ -37,7 +37,7 @@
 
 const (
 	formTimeout  = 60 * time.Second
-	settlePeriod = 3 * time.Second
+	settlePeriod = 12 * time.Second
 )
 
 // usage is what one instance of a system takes.
@@ -50,12 +50,12 @@
 // IdleByDomainSize measures idle instances against the instances of one failure
 // domain.
 func IdleByDomainSize(ctx context.Context, cfg Config) ([]Series, error) {
-	return cfg.idle(ctx, "instances in the domain", TargetDomainSize, []shape{{1, 3}, {1, 6}, {1, 12}, {1, 24}}, func(s shape) int { return s.size })
+	return cfg.idle(ctx, "instances in the domain", TargetDomainSize, []shape{{1, 3}, {1, 9}, {1, 18}, {1, 35}}, func(s shape) int { return s.size })
 }
 
 // IdleByDomains measures idle instances against the number of failure domains.
 func IdleByDomains(ctx context.Context, cfg Config) ([]Series, error) {
-	return cfg.idle(ctx, "failure domains", TargetDomains, []shape{{2, 3}, {4, 3}, {8, 3}, {12, 3}}, func(s shape) int { return s.domains })
+	return cfg.idle(ctx, "failure domains", TargetDomains, []shape{{2, 3}, {6, 3}, {12, 3}, {16, 3}}, func(s shape) int { return s.domains })
 }
 
 // shape is how many failure domains there are, and instances in each.
--- a/keelendpoint/directory.go
+++ b/keelendpoint/directory.go
@@ -3,8 +3,9 @@
 //
 // An endpoint announces itself to any instance of its failure domain, which
 // becomes its registrar. Each registrar tells the other instances of the domain
-// its whole set of endpoints on every change, and the number of the set once a
-// second, so that a lost message is repaired. [Directory] is the deterministic
+// its whole set of endpoints on every change. Once a second each instance tells a
+// few others a sum over the numbers of all sets, so that a lost message is
+// repaired. [Directory] is the deterministic
 // core; [Service] sends and receives; [Handler] answers endpoints over HTTP.
 //
 // The package does not choose endpoints and opens no connection to them.
@@ -12,6 +13,7 @@
 
 import (
 	_ "embed"
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
@@ -20,6 +22,7 @@
 
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelchart"
+	"github.com/zeebo/xxh3"
 )
 
 //go:embed state.json
@@ -92,9 +95,12 @@
 	Records []Record `cbor:"4,keyasint,omitempty" json:"records"`
 	// Brief says that only the number of the set is told, not its records.
 	Brief bool `cbor:"5,keyasint,omitempty" json:"brief,omitempty"`
-	// Others tells in a brief set the numbers of the other registrars' sets, as
-	// far as the sender has them.
-	Others []SetNumber `cbor:"6,keyasint,omitempty" json:"others,omitempty"`
+	// Sum stands in a brief set for the numbers of all sets that the sender has.
+	Sum uint64 `cbor:"6,keyasint,omitempty" json:"sum,omitempty"`
+	// Numbers lists these numbers. In a question it is empty and AskNumbers is
+	// set.
+	Numbers    []SetNumber `cbor:"7,keyasint,omitempty" json:"numbers,omitempty"`
+	AskNumbers bool        `cbor:"8,keyasint,omitempty" json:"ask_numbers,omitempty"`
 	// received is when the set arrived.
 	received time.Time
 }
@@ -257,7 +263,7 @@
 func (d *Directory) Own(now time.Time, brief bool) Set {
 	s := Set{Registrar: d.cfg.Self, Incarnation: d.cfg.Incarnation, Seq: d.seq, Brief: brief}
 	if brief {
-		s.Others = d.numbers()
+		s.Sum = d.sum()
 		return s
 	}
 	for _, rec := range d.own {
@@ -272,34 +278,54 @@
 	return s
 }
 
-func (d *Directory) numbers() []SetNumber {
-	var out []SetNumber
+// Numbers returns the numbers of all sets that are known, this one's included,
+// in the order of the registrars' names. Registrars that never had an endpoint
+// are left out.
+func (d *Directory) Numbers() []SetNumber {
+	own := SetNumber{Registrar: d.cfg.Self, Incarnation: d.cfg.Incarnation, Seq: d.seq}
+	all := []SetNumber{own}
 	for name, s := range d.sets {
 		if _, dead := d.deadSince[name]; !dead {
-			out = append(out, s.number())
+			all = append(all, s.number())
 		}
 	}
-	slices.SortFunc(out, func(a, b SetNumber) int { return strings.Compare(string(a.Registrar), string(b.Registrar)) })
-	return out
+	all = slices.DeleteFunc(all, func(n SetNumber) bool { return n.Seq == 0 })
+	slices.SortFunc(all, func(a, b SetNumber) int { return strings.Compare(string(a.Registrar), string(b.Registrar)) })
+	return all
+}
+
+func (d *Directory) sum() uint64 {
+	h := xxh3.New()
+	for _, n := range d.Numbers() {
+		_, _ = fmt.Fprintf(h, "%s %d %d\n", n.Registrar, n.Incarnation, n.Seq) // a hash never fails to write
+	}
+	return h.Sum64()
 }
 
 func (s *Set) number() SetNumber {
 	return SetNumber{Registrar: s.Registrar, Incarnation: s.Incarnation, Seq: s.Seq}
 }
 
-// Merge takes the set of another registrar. Of a brief set it returns the
-// registrars whose newer sets are missing here, so that they must be fetched.
-func (d *Directory) Merge(now time.Time, s Set) (fetch []keel.InstanceName) {
-	if !s.Brief {
-		d.put(now, s)
-		return nil
+// Merge takes the set of another registrar. It reports whether the sender of a
+// brief set has other sets than this instance, so that their numbers must be
+// asked for.
+func (d *Directory) Merge(now time.Time, s Set) (ask bool) {
+	if s.Brief {
+		return s.Sum != d.sum()
 	}
-	for _, n := range append(s.Others, s.number()) {
+	d.put(now, s)
+	return false
+}
+
+// Missing returns the registrars whose sets are newer than those here.
+func (d *Directory) Missing(numbers []SetNumber) []keel.InstanceName {
+	var out []keel.InstanceName
+	for _, n := range numbers {
 		if d.newer(n) {
-			fetch = append(fetch, n.Registrar)
+			out = append(out, n.Registrar)
 		}
 	}
-	return fetch
+	return out
 }
 
 func (d *Directory) put(now time.Time, s Set) {
--- /dev/null
+++ b/keelendpoint/directory_test.go
@@ -0,0 +1,125 @@
+package keelendpoint_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelendpoint"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newDirectory(self keel.InstanceName) *keelendpoint.Directory {
+	services := []keel.Service{{Name: "s", AnnounceFrom: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}}}
+	return keelendpoint.New(keelendpoint.Config{Self: self, Incarnation: 1, Services: func() []keel.Service { return services }})
+}
+
+func announcement(edit func(*keel.Announcement)) keel.Announcement {
+	a := keel.Announcement{
+		Service: "s", Name: "e", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3, Incarnation: 5,
+		State: keel.EndpointServing, TTL: keel.Duration(3 * time.Second),
+	}
+	if edit != nil {
+		edit(&a)
+	}
+	return a
+}
+
+func TestAnnounce(t *testing.T) {
+	tests := []struct {
+		name    string
+		edit    func(*keel.Announcement)
+		field   string
+		changed bool
+	}{
+		{"same again", nil, "", false},
+		{"more slots", func(a *keel.Announcement) { a.Slots = 4 }, "", true},
+		{"leaving", func(a *keel.Announcement) { a.State = keel.EndpointLeaving }, "", true},
+		{"restarted", func(a *keel.Announcement) { a.Incarnation = 6 }, "", true},
+		{"old incarnation", func(a *keel.Announcement) { a.Incarnation = 4 }, "incarnation", false},
+		{"unknown service", func(a *keel.Announcement) { a.Service = "x" }, "service", false},
+		{"outside the prefixes", func(a *keel.Announcement) { a.Address = netip.MustParseAddrPort("11.0.0.1:80") }, "address", false},
+		{"endless", func(a *keel.Announcement) { a.TTL = keel.Duration(time.Hour) }, "ttl", false},
+		{"no slots", func(a *keel.Announcement) { a.Slots = 0 }, "slots", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDirectory("a")
+			_, fs := d.Announce(start, announcement(nil))
+			is.Equal(len(fs), 0)
+			changed, fs := d.Announce(start.Add(time.Second), announcement(tt.edit))
+			is.Equal(changed, tt.changed)
+			if tt.field != "" {
+				is.Equal(fs[0].Field, tt.field)
+			}
+		})
+	}
+}
+
+// TestLeaverStaysGone renews an endpoint that has left, and one that fell silent.
+func TestLeaverStaysGone(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory("a")
+	_, _ = d.Announce(start, announcement(func(a *keel.Announcement) { a.State = keel.EndpointLeaving }))
+	_, _ = d.Announce(start, announcement(nil)) // a late renewal overtaken by the leave
+	is.Equal(d.Entries(start)[0].Announcement.State, keel.EndpointLeaving)
+	live := func(keel.InstanceName) bool { return true }
+	is.Equal(len(d.Tick(start.Add(3*time.Second), live)), 0)
+	is.Equal(len(d.Tick(start.Add(3*time.Second+1), live)), 1)
+	is.Equal(len(d.Entries(start.Add(4*time.Second))), 0)
+}
+
+// TestRepair tells two directories of a set whose push was lost.
+func TestRepair(t *testing.T) {
+	is := is.New(t)
+	a, b, c := newDirectory("a"), newDirectory("b"), newDirectory("c")
+	is.True(!b.Merge(start, a.Own(start, true))) // nothing to tell yet
+	_, _ = a.Announce(start, announcement(nil))
+	is.True(b.Merge(start, a.Own(start, true)))
+	is.Equal(b.Missing(a.Numbers()), []keel.InstanceName{"a"})
+	b.Merge(start, a.Own(start, false))
+	is.True(!b.Merge(start, a.Own(start, true)))
+	is.Equal(len(b.Entries(start)), 1)
+	is.True(c.Merge(start, b.Own(start, true))) // also through a third instance
+	old := a.Own(start, false)
+	_, _ = a.Announce(start, announcement(func(a *keel.Announcement) { a.State = keel.EndpointLeaving }))
+	b.Merge(start, a.Own(start, false))
+	b.Merge(start, old) // overtaken
+	is.Equal(b.Entries(start)[0].Announcement.State, keel.EndpointLeaving)
+}
+
+// TestDeadRegistrar keeps the endpoints of a registrar that died for one TTL.
+func TestDeadRegistrar(t *testing.T) {
+	is := is.New(t)
+	a, b := newDirectory("a"), newDirectory("b")
+	_, _ = a.Announce(start, announcement(nil))
+	b.Merge(start, a.Own(start, false))
+	dead := func(keel.InstanceName) bool { return false }
+	b.Tick(start, dead)
+	is.Equal(len(b.Entries(start.Add(3*time.Second))), 1)
+	is.Equal(len(b.Entries(start.Add(3*time.Second+1))), 0)
+}
+
+func FuzzSet(f *testing.F) {
+	d := newDirectory("a")
+	_, _ = d.Announce(start, announcement(nil))
+	set := d.Own(start, false)
+	seed, err := keel.EncodeCBOR(&set)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var s keelendpoint.Set
+		if keel.DecodeCBOR(data, &s) == nil {
+			d := newDirectory("b")
+			d.Merge(start, s)
+			d.Missing(s.Numbers)
+			d.Entries(start)
+		}
+	})
+}
--- a/keelendpoint/service.go
+++ b/keelendpoint/service.go
@@ -176,16 +176,17 @@
 	if err := keel.DecodeCBOR(e.Body, &set); err != nil {
 		return keel.Envelope{}, errors.Wrapf(err, "endpoints from instance %q", e.From)
 	}
+	if set.AskNumbers {
+		return s.numbers()
+	}
 	if set.Registrar == s.cfg.Directory.Self {
 		return s.whole()
 	}
 	s.mu.Lock()
-	fetch := s.dir.Merge(time.Now(), set)
+	ask := s.dir.Merge(time.Now(), set)
 	s.mu.Unlock()
-	for _, registrar := range fetch {
-		if err := s.fetch(ctx, registrar); err != nil {
-			return keel.Envelope{}, err
-		}
+	if ask {
+		return keel.Envelope{}, s.repair(ctx, e.From)
 	}
 	if !set.Brief {
 		s.cfg.Changed()
@@ -193,40 +194,63 @@
 	return keel.Envelope{}, nil
 }
 
-func (s *Service) whole() (keel.Envelope, error) {
+// numbers answers with the numbers of all sets.
+func (s *Service) numbers() (keel.Envelope, error) {
 	s.mu.Lock()
-	set := s.dir.Own(time.Now(), false)
+	set := s.dir.Own(time.Now(), true)
+	set.Numbers = s.dir.Numbers()
 	s.mu.Unlock()
 	body, err := keel.EncodeCBOR(&set)
 	return keel.Envelope{Kind: keel.KindAnnounce, Body: body}, err
 }
 
-func (s *Service) fetch(ctx context.Context, from keel.InstanceName) error {
-	for _, m := range s.cfg.Members() {
-		if m.Name != from {
-			continue
-		}
-		body, err := keel.EncodeCBOR(&Set{Registrar: from, Brief: true})
+// repair asks an instance for the numbers of its sets, and the registrars of
+// newer ones for these.
+func (s *Service) repair(ctx context.Context, from keel.InstanceName) error {
+	answer, err := s.call(ctx, from, &Set{Registrar: from, Brief: true, AskNumbers: true})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	missing := s.dir.Missing(answer.Numbers)
+	s.mu.Unlock()
+	for _, registrar := range missing {
+		set, err := s.call(ctx, registrar, &Set{Registrar: registrar, Brief: true})
 		if err != nil {
 			return err
 		}
-		answer, err := s.cfg.Transport.Call(ctx, m.Peer, keel.Envelope{Kind: keel.KindAnnounce, Body: body})
-		if err != nil {
-			return errors.Wrapf(err, "fetch endpoints of instance %q", from)
-		}
-		return s.merge(answer.Body)
+		s.mu.Lock()
+		s.dir.Merge(time.Now(), *set)
+		s.mu.Unlock()
+		s.cfg.Changed()
 	}
 	return nil
 }
 
-func (s *Service) merge(body []byte) error {
-	var set Set
-	if err := keel.DecodeCBOR(body, &set); err != nil {
-		return err
-	}
+func (s *Service) whole() (keel.Envelope, error) {
 	s.mu.Lock()
-	s.dir.Merge(time.Now(), set)
+	set := s.dir.Own(time.Now(), false)
 	s.mu.Unlock()
-	s.cfg.Changed()
-	return nil
+	body, err := keel.EncodeCBOR(&set)
+	return keel.Envelope{Kind: keel.KindAnnounce, Body: body}, err
+}
+
+// call sends a question to an instance of the domain and returns the answer.
+func (s *Service) call(ctx context.Context, to keel.InstanceName, question *Set) (*Set, error) {
+	body, err := keel.EncodeCBOR(question)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range s.cfg.Members() {
+		if m.Name != to {
+			continue
+		}
+		e, err := s.cfg.Transport.Call(ctx, m.Peer, keel.Envelope{Kind: keel.KindAnnounce, Body: body})
+		if err != nil {
+			return nil, errors.Wrapf(err, "ask instance %q for its endpoints", to)
+		}
+		answer := &Set{}
+		return answer, keel.DecodeCBOR(e.Body, answer)
+	}
+	return nil, errors.Errorf("instance %q is not a live instance of this failure domain", to)
 }
