--- a/keelcapacity/change.go
+++ b/keelcapacity/change.go
@@ -14,7 +14,7 @@
 )
 
 // changesMeasured is how many changes are timed at each size.
-const changesMeasured = 40
+const changesMeasured = 15
 
 const (
 	lowestMillis  = 1
--- a/keelquorum/apply.go
+++ b/keelquorum/apply.go
@@ -17,8 +17,10 @@
 type applier struct {
 	node    *Node
 	applied atomic.Uint64
-	// since counts the entries applied since the last snapshot.
+	// since counts the entries applied since the last snapshot, bytes what they
+	// take.
 	since int
+	bytes int
 	// size is the length of the last snapshot, in bytes.
 	size   int
 	failed chan error
@@ -92,13 +94,25 @@
 		}
 		a.node.entryApplied(e.Index, e.Term)
 		a.since++
-	}
-	if a.since >= a.node.cfg.SnapshotEvery {
-		return a.snapshot(ctx)
+		a.bytes += len(e.Data)
+		if a.snapshotDue() {
+			if err := a.snapshot(ctx); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
 
+// minSnapshotBytes is the size of the entries after which a snapshot is made
+// although there are few of them, unless the state itself is larger. It bounds
+// the log in memory and on disk.
+const minSnapshotBytes = 8 << 20
+
+func (a *applier) snapshotDue() bool {
+	return a.since >= a.node.cfg.SnapshotEvery || a.bytes >= max(minSnapshotBytes, a.size)
+}
+
 func (a *applier) restore(s keel.StoredSnapshot) error {
 	if s.Index == 0 {
 		return nil
@@ -107,7 +121,7 @@
 		return errors.Wrapf(err, "restore the snapshot of entry %d", s.Index)
 	}
 	a.applied.Store(s.Index)
-	a.since = 0
+	a.since, a.bytes = 0, 0
 	return nil
 }
 
@@ -119,7 +133,7 @@
 	if err := a.node.cfg.Machine.Snapshot(&b); err != nil {
 		return errors.Wrapf(err, "make the snapshot of entry %d", index)
 	}
-	a.since, a.size = 0, b.Len()
+	a.since, a.bytes, a.size = 0, 0, b.Len()
 	select {
 	case a.node.calls <- func(now time.Time) {
 		if !now.IsZero() {
