keelload: no sending of a request twice by the HTTP client

The HTTP client repeats a GET by itself when a used connection closes without a byte of an answer, which is how an answer that breaks off early looks. The repeat carries the token of the first, and its truthful not_run was counted for it. This is read from the client's documented behaviour, not traced. Change: bodies of loads can't be repeated by the client. The check is as it was.

--- a/keelload/spec.go
+++ b/keelload/spec.go
@@ -150,7 +150,10 @@
 func (r *request) reader() io.Reader {
 	switch {
 	case r.body == nil:
-		return nil
+		// A request without a body may be sent twice by the HTTP client itself,
+		// when a used connection closes without an answer. Both would carry one
+		// token, and the refusal of the second would be taken for the first's.
+		return struct{ io.Reader }{bytes.NewReader(nil)}
 	case r.spec.Pace > 0:
 		return &pacedReader{body: bytes.NewReader(r.body), pause: r.spec.Pace / paceSteps, step: len(r.body)/paceSteps + 1}
 	default:
