--- a/keelcapacity/change.go
+++ b/keelcapacity/change.go
@@ -14,7 +14,7 @@
 )
 
 // changesMeasured is how many changes are timed at each size.
-const changesMeasured = 15
+const changesMeasured = 8
 
 const (
 	lowestMillis  = 1
@@ -27,7 +27,7 @@
 func InForceTime(ctx context.Context, cfg Config) ([]Series, error) {
 	out := []Series{
 		{Name: "change in force everywhere, p50", Unit: "ms", Axis: "instances", Target: 1600},
-		{Name: "change in force everywhere, p99", Unit: "ms", Axis: "instances", Target: 1600},
+		{Name: "change in force everywhere, highest", Unit: "ms", Axis: "instances", Target: 1600},
 	}
 	for _, s := range []shape{{1, 3}, {2, 3}, {4, 3}, {6, 3}} {
 		hist := hdrhistogram.New(lowestMillis, highestMillis, digits)
@@ -38,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		for i, q := range []float64{50, 99} {
+		for i, q := range []float64{50, 100} {
 			out[i].X = append(out[i].X, float64(s.domains*s.size))
 			out[i].Y = append(out[i].Y, float64(hist.ValueAtQuantile(q)))
 		}
