keelproxy: one check for the end of a body, one for its interruption

Cause: the check for a whole body stood five times, the one for a body that can be interrupted three times, the caller's address twice, and a wire field of excluded endpoints was never read or written. Change: CleanEnd, Interrupt and CallerAddr serve all of them; the field is gone. Behaviour is unchanged; the packages' tests pass with -race.

--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -120,7 +120,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() {
 		conn.close()
-		interrupt(r.Body)
+		Interrupt(r.Body)
 	})
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
@@ -147,15 +147,6 @@
 	return answerOf(resp, body), nil
 }
 
-// interrupter is a body whose blocked reads can be ended.
-type interrupter interface{ Interrupt() }
-
-func interrupt(body io.Reader) {
-	if b, ok := body.(interrupter); ok {
-		b.Interrupt()
-	}
-}
-
 func (conn *endpointConn) send(r *Request) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -238,7 +229,7 @@
 
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if CleanEnd(err) {
 		b.atEnd = true
 		return n, io.EOF
 	}
--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -80,7 +80,7 @@
 	x := &exchange{stream: s, r: keel.NewCBORReader(s)}
 	x.stop = context.AfterFunc(ctx, func() {
 		s.Cancel()
-		interrupt(r.Body)
+		Interrupt(r.Body)
 	})
 	if r.HasBody() {
 		x.sender = &bodySender{stream: s, body: r.Body}
@@ -184,7 +184,7 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if CleanEnd(err) {
 			return nil
 		}
 		if err != nil {
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -170,7 +170,7 @@
 		URI:           string(h.RequestURI()),
 		Host:          string(h.Host()),
 		ContentLength: int64(h.ContentLength()),
-		Caller:        addrOf(fctx.RemoteAddr()),
+		Caller:        CallerAddr(fctx),
 		Key:           string(h.Peek(HeaderKey)),
 		Ticket:        string(h.Peek(HeaderTicket)),
 	}
@@ -229,8 +229,10 @@
 	return keel.ServiceName(first)
 }
 
-func addrOf(a net.Addr) netip.Addr {
-	ap, err := netip.ParseAddrPort(a.String())
+// CallerAddr returns the address that a request came from, or the zero address
+// if it can't be told.
+func CallerAddr(fctx *fasthttp.RequestCtx) netip.Addr {
+	ap, err := netip.ParseAddrPort(fctx.RemoteAddr().String())
 	if err != nil {
 		return netip.Addr{}
 	}
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -104,7 +104,7 @@
 func (s *answerStream) Read(b []byte) (int, error) {
 	n, err := s.answer.Body.Read(b)
 	s.read += int64(n)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if CleanEnd(err) {
 		s.atEnd = true
 		return n, io.EOF
 	}
@@ -144,7 +144,7 @@
 		return 0, errors.New("request body: the request has ended")
 	}
 	n, err := b.r.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if CleanEnd(err) {
 		b.atEnd.Store(true)
 	}
 	return n, err
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -75,8 +75,6 @@
 	Claimed bool `cbor:"13,keyasint,omitempty"`
 	// Hops counts the instances that the request passed before this one.
 	Hops int `cbor:"14,keyasint,omitempty"`
-	// Excluded lists endpoints that must not get the request.
-	Excluded []keel.EndpointID `cbor:"15,keyasint,omitempty"`
 	// Via is the failure domain of the instance that sent the request here.
 	Via keel.DomainName `cbor:"16,keyasint,omitempty"`
 
--- a/keelsteer/body.go
+++ b/keelsteer/body.go
@@ -52,7 +52,5 @@
 
 // Interrupt ends a read that is under way.
 func (b *trackedBody) Interrupt() {
-	if i, ok := b.r.(interface{ Interrupt() }); ok {
-		i.Interrupt()
-	}
+	keelproxy.Interrupt(b.r)
 }
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keeladmit"
 	"github.com/greengagekeel/greengagekeel/keelguard"
@@ -72,7 +71,7 @@
 // Read notes whether the answer broke off.
 func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !(errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)) {
+	if err != nil && !keelproxy.CleanEnd(err) {
 		b.err = err
 	}
 	return n, err
--- a/keelsteer/links.go
+++ b/keelsteer/links.go
@@ -8,6 +8,7 @@
 
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keeladmit"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelroute"
 )
 
@@ -163,9 +164,7 @@
 
 // Interrupt ends a read that is under way.
 func (b *pacedBody) Interrupt() {
-	if i, ok := b.r.(interface{ Interrupt() }); ok {
-		i.Interrupt()
-	}
+	keelproxy.Interrupt(b.r)
 }
 
 // pacedAnswer is the paced body of an answer.
--- a/keelsteer/lookup.go
+++ b/keelsteer/lookup.go
@@ -54,7 +54,7 @@
 		Service: keel.ServiceName(args.Peek("service")),
 		Method:  stringOr(args.Peek("method"), fasthttp.MethodGet),
 		URI:     stringOr(args.Peek("path"), "/"),
-		Caller:  callerAddr(fctx),
+		Caller:  keelproxy.CallerAddr(fctx),
 	}
 	if fs := keel.CheckName("service", r.Service); len(fs) > 0 {
 		keelproxy.WriteRefusal(fctx, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "query parameter %v", fs))
@@ -81,14 +81,6 @@
 	return string(b)
 }
 
-func callerAddr(fctx *fasthttp.RequestCtx) netip.Addr {
-	ap, err := netip.ParseAddrPort(fctx.RemoteAddr().String())
-	if err != nil {
-		return netip.Addr{}
-	}
-	return ap.Addr().Unmap()
-}
-
 // lookUp answers a look-up for a request to come. A source's first look-up
 // starts its share vector like its first request.
 func (e *Engine) lookUp(r *keelproxy.Request) (*LookupAnswer, *keel.Refusal) {
