scenario: the three processes of the README with the example files

The README's three processes had been run by hand only.

A first run reported 4 uploads as lost: their callers still held a look-up answer that named the killed instance, and their connections were refused. A caller who could open no connection knows that nothing was sent, so keelload now counts such a send as not run, and checks that it did not run.

--- a/keelload/load.go
+++ b/keelload/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -210,7 +211,7 @@
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		return outcome{kind: lost, detail: err.Error()}
+		return unsent(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if verdict := resp.Header.Get(keelproxy.HeaderVerdict); verdict != "" {
@@ -219,6 +220,16 @@
 	return check(r, send, resp)
 }
 
+// unsent returns the outcome of a send that got no answer. If no connection could
+// be opened, nothing was sent, so that nothing can have run.
+func unsent(err error) outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return outcome{kind: notRun, detail: err.Error()}
+	}
+	return outcome{kind: lost, detail: err.Error()}
+}
+
 // instances returns the addresses to use, from memory while they are valid.
 func (l *Load) instances(ctx context.Context, afresh bool) ([]netip.AddrPort, error) {
 	if l.cfg.Direct {
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -38,6 +38,8 @@
 	instances map[string]*instance
 	endpoints map[string]*endpoint
 	loads     map[string]*load
+	// keys is the folder of keys, below dir.
+	keys string
 	// order lists the instances as they were declared.
 	order []string
 	group conc.WaitGroup
@@ -67,6 +69,7 @@
 func commands() map[string]usage {
 	return map[string]usage{
 		"cluster":   {cmdCluster, "domain|regions", 1},
+		"example":   {cmdExample, "NAME", 1},
 		"leader":    {cmdLeader, "", 0},
 		"shiftcap":  {cmdShiftCap, "INSTANCE SELECTOR DOMAIN PERCENT WINDOW WEIGHT", 6},
 		"instance":  {cmdInstance, "NAME DOMAIN REGION [voter]", 3},
@@ -137,6 +140,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
 		dir:       env.WorkDir,
+		keys:      "keys",
 		program:   program,
 		instances: map[string]*instance{},
 		endpoints: map[string]*endpoint{},
@@ -190,7 +194,7 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
-func (c *cluster) keysDir() string { return filepath.Join(c.dir, "keys") }
+func (c *cluster) keysDir() string { return filepath.Join(c.dir, c.keys) }
 
 func (c *cluster) fatalf(format string, args ...any) { c.ts.Fatalf(format, args...) }
 
