keelproxy: give up callers who stop within a request, fewer allocations

A caller could announce a body and never send it, or never read its answer, and hold its connection, and an endpoint's slot, for ever: the server has no read timeout, and a fixed one would cut slow uploads. A keyed request's body was read without regard to the deadline at all.

The connections of callers now count their reads and writes; a watch looks at the counts every 100 ms. A read that stands still for timing.body_idle (30 s) ends the request with the reason request_timeout (408): not_run if no byte left for an endpoint, else may_have_run, also through another instance. Bytes that come restart the time, a request that waits without being read is not cut, and a paused process gives its callers their time anew. A caller's fault is no longer evidence against a request or an endpoint.

With the same counts, the observer of endpoints' connections needs no clock and no lock for each read and write. One context, one request and one answer are one allocation each.

--- a/keelconfig/check.go
+++ b/keelconfig/check.go
@@ -23,6 +23,8 @@
 	maxLookupTTL = keel.Duration(time.Hour)
 	minStopGrace = keel.Duration(time.Second)
 	maxStopGrace = keel.Duration(24 * time.Hour)
+	minBodyIdle  = keel.Duration(time.Second)
+	maxBodyIdle  = keel.Duration(time.Hour)
 )
 
 var logLevels = []string{"debug", "info", "warning", "error"}
@@ -133,6 +135,7 @@
 	checkRange(&fs, "heartbeat", t.Heartbeat, minHeartbeat, maxHeartbeat)
 	checkRange(&fs, "lookup_ttl", t.LookupTTL, minLookupTTL, maxLookupTTL)
 	checkRange(&fs, "stop_grace", t.StopGrace, minStopGrace, maxStopGrace)
+	checkRange(&fs, "body_idle", t.BodyIdle, minBodyIdle, maxBodyIdle)
 	if t.StopGrace < t.LookupTTL {
 		fs.Add("stop_grace", "is %s, must be at least lookup_ttl, which is %s", t.StopGrace, t.LookupTTL)
 	}
--- a/keelconfig/settings.go
+++ b/keelconfig/settings.go
@@ -88,6 +88,9 @@
 	LookupTTL keel.Duration `json:"lookup_ttl,omitempty"`
 	// StopGrace bounds a planned stop. What is in flight then is cut.
 	StopGrace keel.Duration `json:"stop_grace,omitempty"`
+	// BodyIdle is how long a caller may send nothing of a request that it has
+	// begun, while the instance waits for it.
+	BodyIdle keel.Duration `json:"body_idle,omitempty"`
 }
 
 // Default returns the settings that hold where a file says nothing.
@@ -104,6 +107,7 @@
 			Heartbeat: keel.Duration(time.Second),
 			LookupTTL: keel.Duration(5 * time.Second),
 			StopGrace: keel.Duration(10 * time.Minute),
+			BodyIdle:  keel.Duration(30 * time.Second),
 		},
 	}
 }
--- a/keelconfig/settings_test.go
+++ b/keelconfig/settings_test.go
@@ -61,6 +61,7 @@
 		{"limit", `{"instance"`, `{"limits":{"max_in_flight":-1},"instance"`, "limits.max_in_flight"},
 		{"duration without unit", `{"instance"`, `{"timing":{"heartbeat":"5"},"instance"`, "timing.heartbeat"},
 		{"duration out of range", `{"instance"`, `{"timing":{"heartbeat":"9h"},"instance"`, "timing.heartbeat"},
+		{"no time for a body", `{"instance"`, `{"timing":{"body_idle":"0s"},"instance"`, "timing.body_idle"},
 		{"grace below TTL", `{"instance"`, `{"timing":{"stop_grace":"2s"},"instance"`, "timing.stop_grace"},
 	}
 	for _, tt := range tests {
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
-	"github.com/google/uuid"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelclaim"
 	"github.com/greengagekeel/greengagekeel/keelconfig"
@@ -192,8 +191,9 @@
 		FirstStart: in.control.replica.Current().Version == 0, Seed: in.self.Incarnation,
 	})
 	in.front = keelproxy.NewFront(keelproxy.FrontConfig{
-		Runner: in.engine, Lookup: in.engine.HandleLookup, NewID: uuid.NewString, Report: in.report,
+		Runner: in.engine, Lookup: in.engine.HandleLookup, Report: in.report,
 		Log: in.log, MaxHeaderBytes: s.Limits.MaxHeaderBytes, IdleTimeout: callerIdleTimeout,
+		BodyIdle:    s.Timing.BodyIdle.Std(),
 		MaxInFlight: s.Limits.MaxInFlight, MaxConnections: s.Limits.MaxConnections,
 	})
 	in.endpointApp = keelendpoint.NewApp(in.endpoints, in.reportAnnouncement)
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -22,18 +21,11 @@
 	Domain  keel.DomainName
 }
 
-// ConnObserver is told what happens on the connections to endpoints. Its
+// ConnObserver is told of the connections to endpoints. Its
 // methods are called from several goroutines and must not block.
 type ConnObserver interface {
 	// Opened is called after a connection was opened.
 	Opened(id uint64, t Target, now time.Time)
-	// Waiting is called before a read or a write, when the endpoint is expected
-	// to send or to take bytes.
-	Waiting(id uint64, now time.Time)
-	// Progress is called when bytes moved on a connection.
-	Progress(id uint64, now time.Time)
-	// Idle is called after a read or a write, when nothing is expected.
-	Idle(id uint64, now time.Time)
 	// Closed is called after a connection was closed.
 	Closed(id uint64, now time.Time)
 }
@@ -135,6 +127,17 @@
 	}
 }
 
+// Activity calls f with each open connection and the number of its reads and
+// writes that have begun or ended. The number is odd while the endpoint is
+// expected to send or to take bytes, and changes when bytes moved.
+func (c *EndpointClient) Activity(f func(id, steps uint64)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, conn := range c.open {
+		f(id, conn.steps.Load())
+	}
+}
+
 // Socket returns the socket of the connection with that id.
 func (c *EndpointClient) Socket(id uint64) (syscall.Conn, bool) {
 	c.mu.Lock()
@@ -240,11 +243,16 @@
 		verdict = keel.NotRun
 	}
 	reason := keel.ReasonEndpointFailed
+	var body *bodyError
 	switch {
+	case errors.Is(err, ErrStalled):
+		reason = keel.ReasonRequestTimeout
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
 		reason = keel.ReasonDeadline
 	case ctx.Err() != nil:
 		reason = keel.ReasonCallerGone
+	case errors.As(err, &body):
+		reason = body.reason()
 	}
 	return keel.Refuse(verdict, reason, 0, "endpoint %s: %v", conn.target.ID, err)
 }
@@ -252,13 +260,10 @@
 type noObserver struct{}
 
 func (noObserver) Opened(uint64, Target, time.Time) {}
-func (noObserver) Waiting(uint64, time.Time)        {}
-func (noObserver) Progress(uint64, time.Time)       {}
-func (noObserver) Idle(uint64, time.Time)           {}
 func (noObserver) Closed(uint64, time.Time)         {}
 
 // fillRequest writes r into the library's request.
-func fillRequest(out *fasthttp.Request, r *Request) {
+func fillRequest(out *fasthttp.Request, r *Request, body *requestBody) {
 	out.Header.DisableNormalizing()
 	out.Header.SetMethod(r.Method)
 	out.Header.SetRequestURI(r.URI)
@@ -271,6 +276,6 @@
 		out.Header.Set(HeaderTimeout, left.Round(time.Millisecond).String())
 	}
 	if r.Body != nil {
-		out.SetBodyStream(io.NopCloser(r.Body), int(r.ContentLength))
+		out.SetBodyStream(body, int(r.ContentLength))
 	}
 }
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -7,12 +7,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 )
 
 // endpointConn is one connection to an endpoint.
@@ -21,49 +19,56 @@
 	id     uint64
 	target Target
 	nc     net.Conn
+	peek   *peeker
 	r      *bufio.Reader
 	w      *bufio.Writer
 	// sent counts the bytes that the operating system took for the current
 	// request.
-	sent      atomic.Int64
+	sent atomic.Int64
+	// whole says that the current request was sent to its end.
+	whole bool
+	// steps counts the beginnings and ends of reads and writes.
+	steps     atomic.Uint64
 	idleSince time.Time
 	closeOnce sync.Once
+	// abandon ends the current request, whose body is body.
+	abandon hook
+	body    io.Reader
 }
 
 func newEndpointConn(c *EndpointClient, id uint64, t Target, nc net.Conn) *endpointConn {
-	conn := &endpointConn{client: c, id: id, target: t, nc: nc}
-	conn.r = bufio.NewReaderSize(progressReader{conn}, c.cfg.MaxHeaderBytes)
-	conn.w = bufio.NewWriter(progressWriter{conn})
+	conn := &endpointConn{client: c, id: id, target: t, nc: nc, peek: newPeeker(nc)}
+	conn.r = bufio.NewReaderSize(stepReader{conn}, c.cfg.MaxHeaderBytes)
+	conn.w = bufio.NewWriter(stepWriter{conn})
+	conn.abandon.f = conn.giveUp
 	return conn
 }
 
-type progressReader struct{ conn *endpointConn }
+type stepReader struct{ conn *endpointConn }
 
-func (p progressReader) Read(b []byte) (int, error) {
-	obs := p.conn.client.cfg.Observer
-	obs.Waiting(p.conn.id, time.Now())
-	n, err := p.conn.nc.Read(b)
-	if n > 0 {
-		obs.Progress(p.conn.id, time.Now())
-	}
-	obs.Idle(p.conn.id, time.Now())
+func (s stepReader) Read(b []byte) (int, error) {
+	s.conn.steps.Add(1)
+	n, err := s.conn.nc.Read(b)
+	s.conn.steps.Add(1)
 	return n, err
 }
 
-type progressWriter struct{ conn *endpointConn }
+type stepWriter struct{ conn *endpointConn }
 
-func (p progressWriter) Write(b []byte) (int, error) {
-	obs := p.conn.client.cfg.Observer
-	obs.Waiting(p.conn.id, time.Now())
-	n, err := p.conn.nc.Write(b)
-	if n > 0 {
-		p.conn.sent.Add(int64(n))
-		obs.Progress(p.conn.id, time.Now())
-	}
-	obs.Idle(p.conn.id, time.Now())
+func (s stepWriter) Write(b []byte) (int, error) {
+	s.conn.steps.Add(1)
+	n, err := s.conn.nc.Write(b)
+	s.conn.steps.Add(1)
+	s.conn.sent.Add(int64(n))
 	return n, err
 }
 
+// giveUp ends the current request, also while it is being sent.
+func (conn *endpointConn) giveUp() {
+	conn.close()
+	Interrupt(conn.body)
+}
+
 func (conn *endpointConn) close() {
 	conn.closeOnce.Do(func() {
 		_ = conn.nc.Close() // nothing can be done about a failed close
@@ -78,38 +83,7 @@
 	if time.Since(conn.idleSince) > maxIdle || conn.r.Buffered() > 0 {
 		return false
 	}
-	return quiet(conn.nc)
-}
-
-// quiet reports whether c is open and has nothing to read.
-func quiet(c net.Conn) bool {
-	n, err := peek(c)
-	return n < 0 && errors.Is(err, syscall.EAGAIN)
-}
-
-// peek looks at the next byte of c without taking it or waiting for it. It
-// returns 0 if the other side has closed.
-func peek(c net.Conn) (int, error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.Errorf("%T gives no access to its socket", c)
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, errors.Wrap(err, "socket of connection")
-	}
-	var (
-		n       int
-		recvErr error
-		b       [1]byte
-	)
-	err = raw.Control(func(fd uintptr) {
-		n, _, recvErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	if err != nil {
-		return 0, errors.Wrap(err, "access socket")
-	}
-	return n, recvErr
+	return conn.peek.quiet()
 }
 
 // exchange sends r and reads the header of its answer.
@@ -118,43 +92,82 @@
 	if err := conn.nc.SetDeadline(r.Deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
-	stop := context.AfterFunc(ctx, func() {
-		conn.close()
-		Interrupt(r.Body)
-	})
+	stop := conn.follow(ctx, r.Body)
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	resp.SkipBody = r.Method == fasthttp.MethodHead
+	if err := conn.roundTrip(r, resp); err != nil {
+		stop.stop()
+		fasthttp.ReleaseResponse(resp)
+		return nil, err
+	}
+	return conn.answerOf(r, resp, stop), nil
+}
+
+// follow gives the request up when ctx ends. The deadline of the connection
+// does so too, but not for a body that is awaited from the caller.
+func (conn *endpointConn) follow(ctx context.Context, body io.Reader) following {
+	conn.body = body
+	if c, ok := ctx.(*requestContext); ok {
+		c.add(&conn.abandon, body != nil)
+		return following{ctx: c, hook: &conn.abandon}
+	}
+	return following{stopFunc: context.AfterFunc(ctx, conn.abandon.f)}
+}
+
+// following is the link of a request at an endpoint to its context.
+type following struct {
+	ctx      *requestContext
+	hook     *hook
+	stopFunc func() bool
+}
+
+// stop ends the link and reports whether the request was not given up.
+func (f following) stop() bool {
+	if f.ctx != nil {
+		return f.ctx.remove(f.hook)
+	}
+	return f.stopFunc()
+}
+
+// roundTrip sends r and reads the header of its answer into resp.
+func (conn *endpointConn) roundTrip(r *Request, resp *fasthttp.Response) error {
 	sendErr := conn.send(r)
+	// Without the rest of the body, an endpoint that has not answered yet may
+	// wait for it until the deadline.
+	if broken := (*bodyError)(nil); errors.As(sendErr, &broken) && conn.peek.quiet() {
+		return errors.Wrap(sendErr, "send request")
+	}
 	// An endpoint may answer and close before it has read the whole request,
 	// so its answer is looked for even when sending failed.
 	err := resp.ReadLimitBody(conn.r, 0)
 	if err == nil {
 		err = checkAnswer(r, resp)
 	}
-	if err != nil {
-		stop()
-		fasthttp.ReleaseResponse(resp)
-		if sendErr != nil {
-			return nil, errors.Wrap(sendErr, "send request")
-		}
-		return nil, errors.Wrap(err, "read answer")
+	conn.whole = sendErr == nil
+	switch {
+	case err == nil:
+		return nil
+	case sendErr != nil:
+		return errors.Wrap(sendErr, "send request")
+	default:
+		return errors.Wrap(err, "read answer")
 	}
-	body := &answerBody{conn: conn, resp: resp, stop: stop}
-	body.reusable = sendErr == nil && reusable(r, resp)
-	body.r = bodyReader(resp)
-	body.atEnd = resp.BodyStream() == nil
-	return answerOf(resp, body), nil
 }
 
 func (conn *endpointConn) send(r *Request) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	fillRequest(req, r)
-	if err := req.Write(conn.w); err != nil {
-		return err
+	body := requestBody{r: r.Body}
+	fillRequest(req, r, &body)
+	err := req.Write(conn.w)
+	if err == nil {
+		err = conn.w.Flush()
+	}
+	if body.err != nil {
+		return &bodyError{body.err}
 	}
-	return conn.w.Flush()
+	return err
 }
 
 // checkAnswer refuses an answer that belongs to another request, and one whose
@@ -183,77 +196,3 @@
 func reusable(r *Request, resp *fasthttp.Response) bool {
 	return !resp.ConnectionClose() && string(resp.Header.Peek(HeaderRequestID)) == r.ID
 }
-
-func bodyReader(resp *fasthttp.Response) io.Reader {
-	if s := resp.BodyStream(); s != nil {
-		return s
-	}
-	return eofReader{}
-}
-
-type eofReader struct{}
-
-func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
-
-// answerFields are those fields of an answer that are for the system itself.
-var answerFields = []string{HeaderRequestID}
-
-func answerOf(resp *fasthttp.Response, body io.ReadCloser) *Answer {
-	f := newHeaderFilter(string(resp.Header.Peek("Connection")), answerFields)
-	for name, value := range resp.Header.All() {
-		f.add(name, value)
-	}
-	length := int64(resp.Header.ContentLength())
-	if length < 0 {
-		length = LengthUnknown
-	}
-	return &Answer{
-		Status:        resp.StatusCode(),
-		Header:        f.fields,
-		ContentLength: length,
-		Body:          body,
-	}
-}
-
-// answerBody reads the body of an answer and gives the connection back when it
-// is closed.
-type answerBody struct {
-	conn     *endpointConn
-	resp     *fasthttp.Response
-	r        io.Reader
-	stop     func() bool
-	reusable bool
-	atEnd    bool
-	closed   bool
-}
-
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if CleanEnd(err) {
-		b.atEnd = true
-		return n, io.EOF
-	}
-	return n, err
-}
-
-// Close gives the connection back if the answer was read to its end, and else
-// closes it.
-func (b *answerBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	alive := b.stop()
-	fasthttp.ReleaseResponse(b.resp)
-	conn := b.conn
-	keep := alive && b.reusable && b.atEnd && conn.r.Buffered() == 0
-	if !keep {
-		conn.close()
-		return nil
-	}
-	conn.idleSince = time.Now()
-	if !conn.client.pushIdle(conn) {
-		conn.close()
-	}
-	return nil
-}
--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -24,6 +24,9 @@
 type chunk struct {
 	Data []byte `cbor:"1,keyasint,omitempty"`
 	Last bool   `cbor:"2,keyasint,omitempty"`
+	// Stalled says that no more of the body comes, since the caller sent nothing
+	// for too long.
+	Stalled bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Check reports a part that is too large.
@@ -157,7 +160,12 @@
 }
 
 func (b *bodySender) run() {
-	if err := sendBody(b.stream, b.body); err != nil {
+	err := sendBody(b.stream, b.body)
+	if errors.Is(err, ErrStalled) {
+		// The other instance knows whether a byte left for an endpoint.
+		err = keel.NewCBORWriter(b.stream).Write(&chunk{Stalled: true})
+	}
+	if err != nil {
 		b.stream.Cancel()
 	}
 }
@@ -209,6 +217,9 @@
 		if err := c.r.Read(&next); err != nil {
 			return 0, errors.Wrapf(io.ErrUnexpectedEOF, "next part of body: %v", err)
 		}
+		if next.Stalled {
+			return 0, ErrStalled
+		}
 		c.rest, c.atEnd = next.Data, next.Last
 	}
 	n := copy(p, c.rest)
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -1,6 +1,7 @@
 package keelproxy
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math"
@@ -13,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 )
@@ -23,7 +25,8 @@
 	Runner Runner
 	// Lookup answers requests whose path is [LookupPath].
 	Lookup fasthttp.RequestHandler
-	// NewID makes the id of a request that has none.
+	// NewID makes the id of a request that has none. Without it ids are a random
+	// text of the process and a number.
 	NewID func() string
 	// Report is told of every request that ended. It may be nil.
 	Report func(Result)
@@ -35,8 +38,14 @@
 	// MaxConnections bounds the connections of callers; 0 means the library's
 	// bound.
 	MaxConnections int
-	// IdleTimeout closes callers' connections without requests.
+	// IdleTimeout closes callers' connections without requests; 0 means no
+	// limit.
 	IdleTimeout time.Duration
+	// BodyIdle is how long a caller may send nothing of a request that it has
+	// begun, while the request is being read; 0 means no limit.
+	BodyIdle time.Duration
+	// Clock times the two; nil means the clock of the system.
+	Clock clockwork.Clock
 }
 
 // LookupPath is the path of look-ups on the caller port.
@@ -64,14 +73,22 @@
 type Front struct {
 	cfg      FrontConfig
 	server   *fasthttp.Server
-	watch    *CallerWatch
+	watch    *callerWatch
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 }
 
 // NewFront returns a server that does not listen yet.
 func NewFront(cfg FrontConfig) *Front {
-	f := &Front{cfg: cfg, watch: NewCallerWatch()}
+	if cfg.NewID == nil {
+		cfg.NewID = newIDs()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clockwork.NewRealClock()
+	}
+	f := &Front{cfg: cfg, watch: &callerWatch{
+		idle: cfg.IdleTimeout, bodyIdle: cfg.BodyIdle, clock: cfg.Clock, conns: make(map[*callerConn]struct{}),
+	}}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ErrorHandler:                 f.handleError,
@@ -83,7 +100,7 @@
 		DisablePreParseMultipartForm: true,
 		ReadBufferSize:               cfg.MaxHeaderBytes,
 		MaxRequestBodySize:           prefetchBytes,
-		IdleTimeout:                  cfg.IdleTimeout,
+		ConnState:                    noteState,
 		Concurrency:                  cfg.MaxConnections,
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
@@ -103,7 +120,7 @@
 
 // Serve answers callers on ln until [Front.Shutdown].
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.server.Serve(ln); err != nil {
+	if err := f.server.Serve(callerListener{ln, f.watch}); err != nil {
 		return errors.Wrapf(err, "serve callers on %s", ln.Addr())
 	}
 	return nil
@@ -138,13 +155,15 @@
 }
 
 func (f *Front) proxy(fctx *fasthttp.RequestCtx) {
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &proxied{front: f, start: time.Now(), conn: fctx.Conn(), cancel: cancel}
+	c, ok := fctx.Conn().(*callerConn)
+	if !ok {
+		fctx.SetStatusCode(fasthttp.StatusInternalServerError) // the listener makes no other
+		return
+	}
+	p := &proxied{front: f, start: time.Now(), conn: c}
 	f.inFlight.Add(1)
-	f.watch.add(p.conn, cancel)
-	r, refusal := f.parse(fctx)
-	p.request = r
-	if refusal != nil {
+	c.current.Store(p)
+	if refusal := f.parse(fctx, p); refusal != nil {
 		p.refuse(fctx, refusal)
 		return
 	}
@@ -153,7 +172,7 @@
 		p.refuse(fctx, keel.Refuse(keel.NotRun, keel.ReasonOverload, fullRetry, "the instance has %d requests in flight", limit))
 		return
 	}
-	answer, err := f.cfg.Runner.RunRequest(ctx, r)
+	answer, err := f.cfg.Runner.RunRequest(&p.ctx, &p.request)
 	if err != nil {
 		p.refuse(fctx, AsRefusal(err))
 		return
@@ -161,37 +180,39 @@
 	p.answer(fctx, answer)
 }
 
-func (f *Front) parse(fctx *fasthttp.RequestCtx) (*Request, *keel.Refusal) {
+func (f *Front) parse(fctx *fasthttp.RequestCtx, p *proxied) *keel.Refusal {
 	h := &fctx.Request.Header
-	r := &Request{
-		ID:            string(h.Peek(HeaderRequestID)),
-		Service:       serviceOf(h),
-		Method:        string(h.Method()),
-		URI:           string(h.RequestURI()),
-		Host:          string(h.Host()),
+	var texts arena
+	r := &p.request
+	*r = Request{
+		ID:            texts.text(h.Peek(HeaderRequestID)),
+		Service:       serviceOf(h, &texts),
+		Method:        texts.text(h.Method()),
+		URI:           texts.text(h.RequestURI()),
+		Host:          texts.text(h.Host()),
 		ContentLength: int64(h.ContentLength()),
-		Caller:        CallerAddr(fctx),
-		Key:           string(h.Peek(HeaderKey)),
-		Ticket:        string(h.Peek(HeaderTicket)),
+		Caller:        p.conn.addr,
+		Key:           texts.text(h.Peek(HeaderKey)),
+		Ticket:        texts.text(h.Peek(HeaderTicket)),
 	}
 	if r.ID == "" || len(r.ID) > keel.MaxNameLength {
 		r.ID = f.cfg.NewID()
 	}
 	if fs := keel.CheckName("service", r.Service); len(fs) > 0 {
-		return r, badRequest("header %s or Host: %v", HeaderService, fs)
+		return badRequest("header %s or Host: %v", HeaderService, fs)
 	}
 	if !strings.HasPrefix(r.URI, "/") {
-		return r, badRequest("request target: %q does not start with /", r.URI)
+		return badRequest("request target: %q does not start with /", r.URI)
 	}
 	if err := parseTimeout(r, string(h.Peek(HeaderTimeout))); err != nil {
-		return r, badRequest("header %s: %v", HeaderTimeout, err)
+		return badRequest("header %s: %v", HeaderTimeout, err)
 	}
-	filter := newHeaderFilter(string(h.Peek("Connection")), requestFields)
+	filter := newHeaderFilter(string(h.Peek("Connection")), requestFields, &texts, p.fields[:0])
 	for name, value := range h.All() {
 		filter.add(name, value)
 	}
 	r.Header = filter.fields
-	return r, nil
+	return nil
 }
 
 // requestFields are those fields of a request that are for the system itself or
@@ -220,28 +241,34 @@
 // maxTimeout bounds the time limit that a caller may ask for.
 const maxTimeout = time.Hour
 
-func serviceOf(h *fasthttp.RequestHeader) keel.ServiceName {
+func serviceOf(h *fasthttp.RequestHeader, texts *arena) keel.ServiceName {
 	if v := h.Peek(HeaderService); len(v) > 0 {
-		return keel.ServiceName(v)
+		return keel.ServiceName(texts.text(v))
 	}
-	host, _, _ := strings.Cut(string(h.Host()), ":")
-	first, _, _ := strings.Cut(host, ".")
-	return keel.ServiceName(first)
+	host, _, _ := bytes.Cut(h.Host(), []byte{':'})
+	first, _, _ := bytes.Cut(host, []byte{'.'})
+	return keel.ServiceName(texts.text(first))
 }
 
 // CallerAddr returns the address that a request came from, or the zero address
 // if it can't be told.
 func CallerAddr(fctx *fasthttp.RequestCtx) netip.Addr {
-	ap, err := netip.ParseAddrPort(fctx.RemoteAddr().String())
-	if err != nil {
-		return netip.Addr{}
+	if c, ok := fctx.Conn().(*callerConn); ok {
+		return c.addr
 	}
-	return ap.Addr().Unmap()
+	return addrOf(fctx.RemoteAddr())
 }
 
 // handleError answers requests that the HTTP library could not parse.
 func (f *Front) handleError(fctx *fasthttp.RequestCtx, err error) {
+	c, ok := fctx.Conn().(*callerConn)
+	if ok && !c.active.Load() {
+		return // no request has begun
+	}
 	refusal := badRequest("request: %v", err)
+	if ok && c.stalled.Load() {
+		refusal = keel.Refuse(keel.NotRun, keel.ReasonRequestTimeout, 0, "the request did not arrive whole: %v", err)
+	}
 	var small *fasthttp.ErrSmallBuffer
 	if errors.As(err, &small) {
 		refusal = keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "header: exceeds %d bytes", f.cfg.MaxHeaderBytes)
--- a/keelproxy/header.go
+++ b/keelproxy/header.go
@@ -15,13 +15,15 @@
 	own []string
 	// named lists the fields that the Connection field names.
 	named  []string
+	texts  *arena
 	fields []Field
 }
 
 // newHeaderFilter returns a filter for a message whose Connection field has the
-// given value. Fields named in own are left out, too.
-func newHeaderFilter(connection string, own []string) headerFilter {
-	f := headerFilter{own: own}
+// given value. Fields named in own are left out, too. The fields are appended to
+// fields, and their texts are kept in texts.
+func newHeaderFilter(connection string, own []string, texts *arena, fields []Field) headerFilter {
+	f := headerFilter{own: own, texts: texts, fields: fields}
 	if connection == "" {
 		return f
 	}
@@ -38,7 +40,7 @@
 	if matchesAny(hopByHop, name) || matchesAny(f.own, name) || matchesAny(f.named, name) {
 		return
 	}
-	f.fields = append(f.fields, Field{Name: string(name), Value: string(value)})
+	f.fields = append(f.fields, Field{Name: f.texts.text(name), Value: f.texts.text(value)})
 }
 
 // matchesAny reports whether name is in list, in any case.
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -1,9 +1,7 @@
 package keelproxy
 
 import (
-	"context"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,16 +11,38 @@
 	"github.com/valyala/fasthttp"
 )
 
+// usualFields is how many fields a header has room for without an allocation.
+const usualFields = 12
+
 // proxied is one request of a caller from its header to the end of its answer.
+// It holds all that the request needs on its way, so that it is one allocation.
 type proxied struct {
 	front   *Front
 	start   time.Time
-	conn    net.Conn
-	cancel  context.CancelFunc
-	request *Request
-	body    *callerBody
+	conn    *callerConn
+	ctx     requestContext
+	request Request
+	body    callerBody
+	stream  answerStream
 	result  Result
 	once    sync.Once
+	fields  [usualFields]Field
+}
+
+// check cancels the request if its caller is gone, and ends the writing of its
+// answer if that goes on after the deadline.
+func (p *proxied) check(now time.Time) {
+	if p.conn.peek.gone() {
+		p.ctx.cancel()
+	}
+	deadline, ok := p.ctx.Deadline()
+	if !ok || now.Sub(deadline) <= watchInterval || p.conn.writes.Load()%2 == 0 {
+		return
+	}
+	_ = p.conn.SetWriteDeadline(longAgo) // a connection that is closed needs none
+	if p.conn.current.Load() != p {
+		_ = p.conn.SetWriteDeadline(time.Time{}) // the answer ended meanwhile
+	}
 }
 
 // takeBody lets the request read its body from the caller's connection.
@@ -31,8 +51,8 @@
 		p.request.ContentLength = 0
 		return
 	}
-	p.body = &callerBody{r: fctx.RequestBodyStream(), conn: p.conn}
-	p.request.Body = p.body
+	p.body.r, p.body.conn = fctx.RequestBodyStream(), p.conn
+	p.request.Body = &p.body
 }
 
 func hasBody(fctx *fasthttp.RequestCtx) bool {
@@ -62,14 +82,15 @@
 		h.Set(HeaderServedBy, string(a.Domain))
 	}
 	p.result = Result{Status: a.Status, Domain: a.Domain}
-	body := &answerStream{p: p, answer: a}
+	p.stream = answerStream{p: p, answer: a}
+	body := &p.stream
 	fctx.Response.SetBodyStream(body, int(a.ContentLength))
 	if fctx.IsHead() || !hasBodyStatus(a.Status) {
 		fctx.Response.SkipBody = true
 		body.noBody = true
 		_ = body.Close()
 	}
-	if p.body != nil && !p.body.atEnd.Load() {
+	if p.body.r != nil && !p.body.atEnd.Load() {
 		fctx.SetConnectionClose()
 	}
 }
@@ -77,16 +98,16 @@
 // stopBody ends the reading of the caller's body and reports whether all of it
 // was read.
 func (p *proxied) stopBody() bool {
-	return p.body == nil || p.body.stop()
+	return p.body.r == nil || p.body.stop()
 }
 
 func (p *proxied) end() {
 	p.once.Do(func() {
 		p.stopBody()
-		p.cancel()
-		p.front.watch.remove(p.conn)
+		p.ctx.cancel()
+		p.conn.current.Store(nil)
 		p.front.inFlight.Add(-1)
-		p.result.Request = p.request
+		p.result.Request = &p.request
 		p.result.Elapsed = time.Since(p.start)
 		p.front.report(p.result)
 	})
@@ -131,10 +152,13 @@
 // request.
 type callerBody struct {
 	r       io.Reader
-	conn    net.Conn
-	mu      sync.Mutex
+	conn    *callerConn
+	mu      sync.Mutex // held while reading
 	stopped bool
 	atEnd   atomic.Bool
+
+	interruptMu sync.Mutex // guards over
+	over        bool
 }
 
 func (b *callerBody) Read(p []byte) (int, error) {
@@ -146,22 +170,31 @@
 	n, err := b.r.Read(p)
 	if CleanEnd(err) {
 		b.atEnd.Store(true)
+	} else if err != nil && b.conn.stalled.Load() {
+		err = ErrStalled
 	}
 	return n, err
 }
 
-// Interrupt ends a read that is under way and every later one.
+// Interrupt ends a read that is under way and every later one. It does nothing
+// after the request has ended, when the connection may carry the next one.
 func (b *callerBody) Interrupt() {
-	_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // wakes a blocked read
+	b.interruptMu.Lock()
+	defer b.interruptMu.Unlock()
+	if !b.over {
+		_ = b.conn.SetReadDeadline(longAgo) // wakes a blocked read
+	}
 }
 
 // stop ends a read that is under way and refuses later ones. It reports whether
 // the body was read to its end.
 func (b *callerBody) stop() bool {
-	if b.atEnd.Load() {
-		return true
+	if !b.atEnd.Load() {
+		b.Interrupt()
 	}
-	b.Interrupt()
+	b.interruptMu.Lock()
+	b.over = true
+	b.interruptMu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopped = true
--- a/keelproxy/proxy_test.go
+++ b/keelproxy/proxy_test.go
@@ -103,6 +103,12 @@
 	addr   netip.AddrPort
 }
 
+func newEndpointRunner(t *testing.T, addr netip.AddrPort) endpointRunner {
+	r := endpointRunner{client: keelproxy.NewEndpointClient(keelproxy.ClientConfig{}), addr: addr}
+	t.Cleanup(r.client.Close)
+	return r
+}
+
 func (r endpointRunner) RunRequest(ctx context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
 	return r.client.Dispatch(ctx, keelproxy.Target{ID: target, Address: r.addr, Domain: "d"}, req)
 }
@@ -117,16 +123,17 @@
 	return r.forwarder.Forward(ctx, r.to, req)
 }
 
-// runners returns the implementations of Runner that end at the endpoint.
+// runners returns the implementations of Runner that end at the endpoint. Each
+// has connections of its own: one that the endpoint is about to close could else
+// be used again by the next.
 func runners(t *testing.T, addr netip.AddrPort) map[string]keelproxy.Runner {
-	direct := endpointRunner{client: keelproxy.NewEndpointClient(keelproxy.ClientConfig{}), addr: addr}
-	t.Cleanup(direct.client.Close)
+	direct, behind := newEndpointRunner(t, addr), newEndpointRunner(t, addr)
 	a, b := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	hub := keelpeer.NewMemoryHub(keelpeer.HubConfig{})
 	from, to := hub.Join("a", a), hub.Join("b", b)
-	to.SetStreams(&keelproxy.Receiver{Runner: direct, Log: logrus.NewEntry(log)})
+	to.SetStreams(&keelproxy.Receiver{Runner: behind, Log: logrus.NewEntry(log)})
 	return map[string]keelproxy.Runner{"direct": direct, "forwarded": forwardRunner{keelproxy.Forwarder{Transport: from}, b}}
 }
 
@@ -194,9 +201,6 @@
 type connCounter struct{ opened int }
 
 func (c *connCounter) Opened(uint64, keelproxy.Target, time.Time) { c.opened++ }
-func (c *connCounter) Waiting(uint64, time.Time)                  {}
-func (c *connCounter) Progress(uint64, time.Time)                 {}
-func (c *connCounter) Idle(uint64, time.Time)                     {}
 func (c *connCounter) Closed(uint64, time.Time)                   {}
 
 func TestNotRun(t *testing.T) {
--- /dev/null
+++ b/keelproxy/stall_test.go
@@ -0,0 +1,217 @@
+package keelproxy_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+)
+
+const bodyIdle = 30 * time.Second
+
+// watchedFront serves a runner on a caller port whose time limits follow a fake
+// clock.
+func watchedFront(t *testing.T, runner keelproxy.Runner) (*keelproxy.Front, net.Addr, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	front := keelproxy.NewFront(keelproxy.FrontConfig{
+		Runner: runner, MaxHeaderBytes: 4096, BodyIdle: bodyIdle, IdleTimeout: time.Minute, Clock: clock,
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = ln.Close() })
+	go func() { _ = front.Serve(ln) }()
+	go func() { _ = front.Run(ctx) }()
+	return front, ln.Addr(), clock
+}
+
+// silentEndpoint takes bytes and never answers. It tells of the first byte that
+// it gets.
+func silentEndpoint(t *testing.T) (netip.AddrPort, <-chan struct{}) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	got := make(chan struct{}, 16)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 1)); err == nil {
+					got <- struct{}{}
+				}
+				_, _ = io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort(), got
+}
+
+// TestStalledRequest sends the beginning of a request and then nothing.
+func TestStalledRequest(t *testing.T) {
+	part := strings.Repeat("x", 20_000)
+	tests := []struct {
+		name, begin string
+		reaches     bool // a byte reaches the endpoint
+		verdict     keel.Verdict
+	}{
+		{"header", "GET /x HTTP/1.1\r\nHost: s\r\nX-", false, keel.NotRun},
+		{"short body", "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 100\r\n\r\n", false, keel.NotRun},
+		{"long body", "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 100000\r\n\r\n", false, keel.NotRun},
+		{"expect", "POST /x HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n", false, keel.NotRun},
+		{"first chunk", "POST /x HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n", false, keel.NotRun},
+		{"middle of a body", "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 100000\r\n\r\n" + part, true, keel.MayHaveRun},
+		{"middle of a chunk", "POST /x HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n" + part, true, keel.MayHaveRun},
+	}
+	for _, tt := range tests {
+		addr, got := silentEndpoint(t)
+		for name, runner := range runners(t, addr) {
+			t.Run(tt.name+"/"+name, func(t *testing.T) {
+				is := is.New(t)
+				front, caller, clock := watchedFront(t, deadlineRunner{runner})
+				c, err := net.Dial("tcp", caller.String())
+				is.NoErr(err)
+				defer func() { _ = c.Close() }()
+				send(c, tt.begin)
+				if tt.reaches {
+					<-got
+				}
+				answer := refusedAfter(t, c, clock)
+				is.Equal(answer.StatusCode, http.StatusRequestTimeout)
+				is.Equal(answer.Header.Get(keelproxy.HeaderVerdict), tt.verdict.String())
+				is.Equal(front.InFlight(), int64(0))
+				_, err = c.Read(make([]byte, 1))
+				is.True(err != nil) // the connection does not go on
+			})
+		}
+	}
+}
+
+// pass lets time pass in steps that are no pause of the process.
+func pass(clock *clockwork.FakeClock, d time.Duration) {
+	for ; d > 0; d -= time.Second {
+		clock.Advance(time.Second)
+	}
+}
+
+// refusedAfter lets time pass until an answer comes, and returns it.
+func refusedAfter(t *testing.T, c net.Conn, clock *clockwork.FakeClock) *http.Response {
+	t.Helper()
+	answers := make(chan *http.Response, 1)
+	go func() {
+		defer close(answers)
+		br := bufio.NewReader(c)
+		for {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadAll(resp.Body)
+			if resp.StatusCode != http.StatusContinue {
+				answers <- resp
+				return
+			}
+		}
+	}()
+	for {
+		select {
+		case resp, ok := <-answers:
+			if !ok {
+				t.Fatal("the connection ended without an answer")
+			}
+			return resp
+		case <-time.After(time.Millisecond):
+			clock.Advance(time.Second)
+		}
+	}
+}
+
+// byteRunner reads a body byte by byte, tells of each, and answers when it is
+// complete.
+type byteRunner struct{ got chan byte }
+
+func (r byteRunner) RunRequest(_ context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
+	for {
+		var b [1]byte
+		n, err := req.Body.Read(b[:])
+		if n > 0 {
+			r.got <- b[0]
+		}
+		if keelproxy.CleanEnd(err) {
+			return &keelproxy.Answer{Status: http.StatusOK, Body: http.NoBody}, nil
+		}
+		if err != nil {
+			return nil, keel.Refuse(keel.NotRun, keelproxy.BodyReason(err), 0, "%v", err)
+		}
+	}
+}
+
+// TestSlowRequest uploads a body whose bytes come just often enough, for far
+// longer than the limit.
+func TestSlowRequest(t *testing.T) {
+	is := is.New(t)
+	runner := byteRunner{got: make(chan byte)}
+	_, caller, clock := watchedFront(t, runner)
+	c, err := net.Dial("tcp", caller.String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	send(c, "POST /x HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range 20 {
+		send(c, "1\r\nx\r\n")
+		is.Equal(<-runner.got, byte('x'))
+		pass(clock, bodyIdle-time.Second)
+	}
+	send(c, "0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+// TestWaitingRequest keeps a request waiting without reading its body, which
+// is no fault of the caller.
+func TestWaitingRequest(t *testing.T) {
+	is := is.New(t)
+	runner := waitingRunner{entered: make(chan struct{}), leave: make(chan struct{})}
+	_, caller, clock := watchedFront(t, runner)
+	c, err := net.Dial("tcp", caller.String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	send(c, "POST /x HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	<-runner.entered
+	for range 20 {
+		pass(clock, bodyIdle-time.Second)
+	}
+	close(runner.leave)
+	send(c, "1\r\nx\r\n0\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+type waitingRunner struct{ entered, leave chan struct{} }
+
+func (r waitingRunner) RunRequest(_ context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
+	close(r.entered)
+	<-r.leave
+	if _, err := io.ReadAll(req.Body); err != nil {
+		return nil, err
+	}
+	return &keelproxy.Answer{Status: http.StatusOK, Body: http.NoBody}, nil
+}
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -29,7 +29,7 @@
 	refusal := keelproxy.AsRefusal(err)
 	outcome := keeladmit.OutcomeFailed
 	switch {
-	case x.ctx.Err() != nil:
+	case x.ctx.Err() != nil, callersFault(refusal.Reason):
 		outcome = keeladmit.OutcomeCancelled
 		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	case refusal.Verdict == keel.MayHaveRun:
@@ -41,6 +41,17 @@
 	x.end(outcome)
 }
 
+// callersFault reports whether a request failed because of what its caller sent
+// or did not send, which says nothing about the endpoint.
+func callersFault(reason keel.Reason) bool {
+	switch reason {
+	case keel.ReasonRequestTimeout, keel.ReasonCallerGone, keel.ReasonBadRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // probe tells the guard whether the endpoint takes a new connection, and shares
 // the evidence before the caller is answered.
 func (x *dispatched) probe() {
--- a/keelsteer/keyed.go
+++ b/keelsteer/keyed.go
@@ -25,7 +25,7 @@
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonKeyMissing, 0,
 			"selector %q runs requests at most once; header %s must hold a key", sel.Name, keelproxy.HeaderKey)
 	}
-	hash, refusal := holdBody(r, e.cfg.MaxKeyedBytes)
+	hash, refusal := holdBody(ctx, r, e.cfg.MaxKeyedBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -59,7 +59,7 @@
 // holdBody reads the body into memory, so that it can be sent again, and returns
 // a hash of the method, the target and the body. The hash does not depend on
 // how the body was framed.
-func holdBody(r *keelproxy.Request, limit int) (uint64, *keel.Refusal) {
+func holdBody(ctx context.Context, r *keelproxy.Request, limit int) (uint64, *keel.Refusal) {
 	h := xxh3.New()
 	_, _ = h.WriteString(r.Method + " " + r.URI + " ") // a hash never fails to write
 	if !r.HasBody() {
@@ -68,9 +68,14 @@
 	if r.ContentLength > int64(limit) {
 		return 0, tooLarge(limit)
 	}
+	stop := context.AfterFunc(ctx, func() { keelproxy.Interrupt(r.Body) })
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	stop()
+	if err != nil && ctx.Err() != nil {
+		return 0, endedRefusal(ctx, "the body of the request did not arrive in time")
+	}
 	if err != nil {
-		return 0, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "body of request %q: %v", r.ID, err)
+		return 0, keel.Refuse(keel.NotRun, heldReason(err), 0, "body of request %q: %v", r.ID, err)
 	}
 	if len(body) > limit {
 		return 0, tooLarge(limit)
@@ -85,6 +90,15 @@
 	return h.Sum64(), nil
 }
 
+// heldReason returns the reason of the refusal of a request whose body could not
+// be held. One that was cut short counts as malformed.
+func heldReason(err error) keel.Reason {
+	if reason := keelproxy.BodyReason(err); reason == keel.ReasonRequestTimeout {
+		return reason
+	}
+	return keel.ReasonBadRequest
+}
+
 func tooLarge(limit int) *keel.Refusal {
 	return keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "the body of an at-most-once request has more than %d bytes", limit)
 }
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -22,7 +22,7 @@
 		return nil, refusal
 	}
 	e.prepare(p, sel, r)
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := keelproxy.WithDeadline(ctx, r.Deadline)
 	answer, err := e.runClass(ctx, p, sel, r)
 	if err != nil {
 		cancel()
--- a/keelsteer/silence.go
+++ b/keelsteer/silence.go
@@ -26,6 +26,9 @@
 	core    *keelguard.Silence
 	targets map[keelguard.Peer]keelproxy.Target
 	retired int
+	// steps holds the reads and writes of each connection when they were looked
+	// at last.
+	steps map[uint64]uint64
 }
 
 func newSilenceWatch(log *logrus.Entry) *silenceWatch {
@@ -33,6 +36,7 @@
 		log:     log,
 		core:    keelguard.NewSilence(keelguard.SilenceConfig{Limit: silenceLimit}),
 		targets: make(map[keelguard.Peer]keelproxy.Target),
+		steps:   make(map[uint64]uint64),
 	}
 }
 
@@ -45,32 +49,12 @@
 	w.core.Opened(now, keelguard.ConnID(id), peer, now)
 }
 
-// Waiting implements [keelproxy.ConnObserver].
-func (w *silenceWatch) Waiting(id uint64, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.core.Waiting(now, keelguard.ConnID(id), 1)
-}
-
-// Progress implements [keelproxy.ConnObserver].
-func (w *silenceWatch) Progress(id uint64, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.core.Progress(now, keelguard.ConnID(id))
-}
-
-// Idle implements [keelproxy.ConnObserver].
-func (w *silenceWatch) Idle(id uint64, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.core.Waiting(now, keelguard.ConnID(id), 0)
-}
-
 // Closed implements [keelproxy.ConnObserver].
 func (w *silenceWatch) Closed(id uint64, _ time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.core.Closed(keelguard.ConnID(id))
+	delete(w.steps, id)
 }
 
 func (l loop) runSilence() {
@@ -107,7 +91,26 @@
 	}
 }
 
+// look tells the core which connections have moved bytes since the last time,
+// and from which something is expected.
+func (w *silenceWatch) look(now time.Time) {
+	seen := make(map[uint64]uint64)
+	w.client.Activity(func(id, steps uint64) { seen[id] = steps })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, steps := range seen {
+		conn := keelguard.ConnID(id)
+		if w.steps[id] != steps {
+			w.core.Progress(now, conn)
+			w.core.Waiting(now, conn, 0)
+		}
+		w.core.Waiting(now, conn, int(steps%2))
+	}
+	w.steps = seen
+}
+
 func (w *silenceWatch) check(ctx context.Context, now time.Time) {
+	w.look(now)
 	w.ask(now)
 	w.mu.Lock()
 	actions := w.core.Check(now)
--- a/refusal.go
+++ b/refusal.go
@@ -18,6 +18,7 @@
 	ReasonKeyConflict     Reason = "key_conflict"      // 409
 	ReasonDuplicate       Reason = "duplicate"         // 409
 	ReasonKeyMissing      Reason = "key_missing"       // 400
+	ReasonRequestTimeout  Reason = "request_timeout"   // 408
 	ReasonTooLarge        Reason = "too_large"         // 413
 	ReasonQueueTimeout    Reason = "queue_timeout"     // 503
 	ReasonOverload        Reason = "overload"          // 503
@@ -38,7 +39,7 @@
 
 var reasonStatus = map[Reason]int{
 	ReasonBadRequest: 400, ReasonKeyMissing: 400,
-	ReasonUnknownService: 404, ReasonNoSelector: 404,
+	ReasonUnknownService: 404, ReasonNoSelector: 404, ReasonRequestTimeout: 408,
 	ReasonKeyConflict: 409, ReasonDuplicate: 409,
 	ReasonTooLarge: 413, ReasonPoison: 422, ReasonCallerGone: 499,
 	ReasonEndpointFailed: 502, ReasonPeerFailed: 502,
