--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -50,7 +50,7 @@
 		row   string
 		names []string
 	}{
-		{"metrics", metrics, "| `keel_%s` |", metricNames(t, "keelinstance/metrics.go")},
+		{"metrics", metrics, "| `keel_%s` |", append(metricNames(t, "keelinstance/metrics.go"), metricNames(t, "keelinstance/gauges.go")...)},
 		{"reasons", interfaces, "| `%s` |", constants(t, "refusal.go", "Reason", valueOf)},
 		{"kinds of messages", interfaces, "| `%s` |", constants(t, "message.go", "MessageKind", nameOf)},
 		{"classes", interfaces, "`%s`", constants(t, "class.go", "Class", valueOf)},
--- a/keelinstance/metrics.go
+++ b/keelinstance/metrics.go
@@ -1,7 +1,6 @@
 package keelinstance
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"strconv"
@@ -9,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelsteer"
@@ -176,41 +174,3 @@
 	m.logged[c] = now
 	return true
 }
-
-// runMetrics sets the gauges until ctx ends.
-func (in *Instance) runMetrics(ctx context.Context) error {
-	ticker := time.NewTicker(metricsPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			if err := in.metrics.closer.Close(); err != nil {
-				return errors.Wrap(err, "close metrics")
-			}
-			return nil
-		case <-ticker.C:
-			in.setGauges()
-		}
-	}
-}
-
-func (in *Instance) setGauges() {
-	s := in.metrics.scope
-	s.Gauge("declarations_version").Update(float64(in.control.replica.Current().Version))
-	s.Gauge("requests_in_flight").Update(float64(in.front.InFlight()))
-	d := in.engine.Dump()
-	draining := 0
-	for _, drain := range d.Drains {
-		if !drain.Done {
-			draining++
-		}
-	}
-	s.Gauge("endpoints_draining").Update(float64(draining))
-	s.Gauge("silent_connections_closed").Update(float64(d.Retired))
-	for _, p := range d.Pools {
-		tagged := s.Tagged(map[string]string{"service": string(p.Service)})
-		tagged.Gauge("slots").Update(float64(p.Slots))
-		tagged.Gauge("slots_free").Update(float64(p.Free))
-		tagged.Gauge("requests_waiting").Update(float64(p.Waiting))
-	}
-}
--- a/keelsteer/dump.go
+++ b/keelsteer/dump.go
@@ -17,6 +17,7 @@
 	Pools     []PoolDump           `json:"pools"`
 	Shares    []ShareDump          `json:"shares"`
 	Drains    []DrainState         `json:"drains"`
+	Links     []LinkDump           `json:"links"`
 	Retired   int                  `json:"silent_connections_closed"`
 }
 
@@ -43,6 +44,7 @@
 		View:      p.view,
 		Endpoints: p.entries,
 		Drains:    e.drains.list(),
+		Links:     e.links.dump(time.Now()),
 	}
 	for service, pl := range p.pools {
 		d.Pools = append(d.Pools, PoolDump{
--- a/keelsteer/links.go
+++ b/keelsteer/links.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +28,9 @@
 
 // sentBytes is what was sent to a region, as a rate.
 type sentBytes struct {
+	// bytes is what was sent since, total what was sent since the start.
 	bytes int
+	total uint64
 	since time.Time
 	rate  keelroute.Average
 }
@@ -95,7 +99,9 @@
 		return n, 0
 	}
 	granted, wait := budget.TakeFor(now, sel, n)
-	b.sentTo(now, to).bytes += granted
+	s := b.sentTo(now, to)
+	s.bytes += granted
+	s.total += uint64(granted)
 	return granted, wait
 }
 
@@ -109,6 +115,33 @@
 	return s
 }
 
+// LinkDump is the use of a link out of this instance's region.
+type LinkDump struct {
+	To keel.RegionName `json:"to"`
+	// Bytes is what this instance has sent over the link since its start.
+	Bytes uint64 `json:"bytes"`
+	// Use is the part of this instance's byte budget that is used, from 0 to 1.
+	Use float64 `json:"use"`
+}
+
+// dump returns the use of each declared link, in the order of regions.
+func (b *linkBook) dump(now time.Time) []LinkDump {
+	b.mu.Lock()
+	regions := slices.Sorted(maps.Keys(b.budgets))
+	b.mu.Unlock()
+	out := make([]LinkDump, 0, len(regions))
+	for _, to := range regions {
+		out = append(out, LinkDump{To: to, Bytes: b.total(now, to), Use: b.use(now, to)})
+	}
+	return out
+}
+
+func (b *linkBook) total(now time.Time, to keel.RegionName) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sentTo(now, to).total
+}
+
 // use returns the part of this instance's byte budget to a region that is used,
 // from 0 to 1, on an average over time.
 func (b *linkBook) use(now time.Time, to keel.RegionName) float64 {
