keelmember: one report a domain when a version is in force in it

A change reached the instances in milliseconds, but whoever waited for it heard so by heartbeats and digests: 1.3 s with 2 failure domains, 2.8 s with 6, half a minute at 46.

Members tell the representatives and voters of their domain of a new version at once. The first representative reports once a domain and version to the voters; a voter without a report repeats the version and asks, another representative each time. Instances that are no voters ask the voters. Digests remain the last resort; a lower version right after a higher one counts as overtaken.

--- a/keelcapacity/change.go
+++ b/keelcapacity/blocks.go
@@ -7,63 +7,10 @@
 	"runtime"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	keel "github.com/greengagekeel/greengagekeel"
-	"github.com/greengagekeel/greengagekeel/keellocal"
 	"github.com/greengagekeel/greengagekeel/keellookup"
 )
 
-// changesMeasured is how many changes are timed at each size.
-const changesMeasured = 8
-
-const (
-	lowestMillis  = 1
-	highestMillis = 60_000
-	digits        = 3
-)
-
-// InForceTime measures the time from a change's submission until it is in force
-// at every instance, against the number of instances.
-func InForceTime(ctx context.Context, cfg Config) ([]Series, error) {
-	out := []Series{
-		{Name: "change in force everywhere, p50", Unit: "ms", Axis: "instances", Target: 1600},
-		{Name: "change in force everywhere, highest", Unit: "ms", Axis: "instances", Target: 1600},
-	}
-	for _, s := range []shape{{1, 3}, {2, 3}, {4, 3}, {6, 3}} {
-		hist := hdrhistogram.New(lowestMillis, highestMillis, digits)
-		err := cfg.run(ctx, s, func(ctx context.Context, system *keellocal.System) error {
-			time.Sleep(settlePeriod)
-			return changeOften(ctx, system, hist)
-		})
-		if err != nil {
-			return nil, err
-		}
-		for i, q := range []float64{50, 100} {
-			out[i].X = append(out[i].X, float64(s.domains*s.size))
-			out[i].Y = append(out[i].Y, float64(hist.ValueAtQuantile(q)))
-		}
-	}
-	return out, nil
-}
-
-func changeOften(ctx context.Context, system *keellocal.System, hist *hdrhistogram.Histogram) error {
-	base := keel.Version(1)
-	for n := range changesMeasured {
-		name := fmt.Sprintf("region-%d", n)
-		start := time.Now()
-		o, err := system.Submit(ctx, keel.Change{
-			ID: keel.ChangeID(name), Base: base, Author: "capacity", Time: start.UTC(),
-			Ops: []keel.Op{{Action: keel.OpPut, Kind: keel.KindRegion, Name: name, Region: &keel.Region{Name: keel.RegionName(name)}}},
-		})
-		if err != nil {
-			return err
-		}
-		base = o.Version
-		_ = hist.RecordValue(time.Since(start).Milliseconds()) // out of range only past a minute
-	}
-	return nil
-}
-
 // Blocks measures the look-up table against the number of client blocks.
 func Blocks(context.Context, Config) ([]Series, error) {
 	out := []Series{
--- a/keelinstance/control.go
+++ b/keelinstance/control.go
@@ -242,15 +242,3 @@
 	}
 	return h
 }
-
-// InForce implements [keeloperate.Control].
-func (c *control) InForce(v keel.Version) keeloperate.InForce {
-	view := c.in.members.View()
-	confirmed := view.Confirm(v, nil)
-	f := keeloperate.InForce{Version: v, Everywhere: confirmed.InForce}
-	for _, m := range confirmed.Lags {
-		f.Lagging = append(f.Lagging, m.Name)
-	}
-	f.Unheard = confirmed.Unheard
-	return f
-}
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -222,6 +222,7 @@
 	}
 	in.peer.Register(keel.KindFetch, in.control.replica.Handler())
 	in.peer.Register(keel.KindPropose, in.control)
+	in.peer.Register(keel.KindInForce, inForceHandler{in})
 	in.peer.Register(keel.KindAnnounce, in.endpoints)
 	in.peer.Register(keel.KindClaim, in.claims)
 	in.peer.Register(keel.KindGuard, in.guard)
@@ -254,6 +255,9 @@
 // Self returns what the instance says about itself.
 func (in *Instance) Self() keel.Instance { return in.self }
 
+// Version returns the version of the declarations in force at this instance.
+func (in *Instance) Version() keel.Version { return in.control.replica.Current().Version }
+
 // Close gives back the ports of an instance that does not run.
 func (in *Instance) Close() {
 	for _, ln := range []net.Listener{in.ports.caller, in.ports.endpoint, in.ports.operator} {
--- a/keelmember/core.go
+++ b/keelmember/core.go
@@ -50,6 +50,14 @@
 	// working majority that a voter sends to a domain.
 	minSignPeriod = 2 * time.Second
 	signPerDomain = 100 * time.Millisecond
+	// askPeriod is the time after which a voter asks a domain that has not
+	// reported a version, again and again until it has asked maxAsks times.
+	// From then on the sign of a working majority asks.
+	askPeriod = 500 * time.Millisecond
+	maxAsks   = 6
+	// overtakenWithin is the time within which a summary with a lower version
+	// than the one before counts as overtaken on its way.
+	overtakenWithin = 2 * time.Second
 	// pushersPerDomain is how many voters tell each domain of a new version.
 	pushersPerDomain = 2
 	joinPeriod       = time.Second
@@ -147,6 +155,9 @@
 	relayed       map[keel.DomainName]time.Time
 	pendingRelays []keel.DomainName
 
+	reported   keel.Version // the version that voters were last told to be in force in the domain
+	lastReport time.Time
+
 	changed bool // since the last view
 	viewed  time.Time
 	view    *View
@@ -187,7 +198,9 @@
 	c.hello()
 	c.beat()
 	c.sign()
+	c.askAgain()
 	c.digests()
+	c.report()
 	return c.finish()
 }
 
@@ -203,13 +216,21 @@
 	case *Hello:
 		c.takeHello(from, m)
 	}
+	c.report()
 	return c.finish()
 }
 
 // Next returns when the next call of [Core.Tick] is due.
 func (c *Core) Next() time.Time {
 	next := c.nextBeat
-	for _, t := range []time.Time{c.nextDigest, c.nextHello, c.viewed.Add(viewPeriod)} {
+	due := []time.Time{c.nextDigest, c.nextHello, c.viewed.Add(viewPeriod)}
+	if c.pushDue {
+		due = append(due, c.lastPush.Add(pushGap))
+	}
+	if c.reportDue() {
+		due = append(due, c.lastReport.Add(pushGap))
+	}
+	for _, t := range due {
 		if t.Before(next) {
 			next = t
 		}
@@ -229,7 +250,7 @@
 
 func (c *Core) setLocal(l Local) {
 	if l.Version > c.local.Version {
-		c.pushDue = true
+		c.pushDue, c.changed = true, true
 	}
 	if l.Leaving != c.local.Leaving {
 		c.pushDue, c.changed = true, true
--- a/keelmember/digest.go
+++ b/keelmember/digest.go
@@ -30,8 +30,7 @@
 func (c *Core) liveMembers() []Member {
 	live := []Member{c.selfMember()}
 	for _, name := range c.memberNames() {
-		m := c.members[name]
-		if m.live() || m.state() == StateSuspect || m.state() == StateLeaving {
+		if m := c.members[name]; m.counts() {
 			live = append(live, m.view())
 		}
 	}
--- a/keelmember/domain.go
+++ b/keelmember/domain.go
@@ -12,16 +12,18 @@
 	name     keel.DomainName
 	digest   Digest
 	made     time.Time
+	heard    time.Time // when the versions of the digest were true
 	version  keel.Version
 	contacts []Contact
 	told     keel.Version // the version that this instance last told it
+	asked    asked
 }
 
 // maxDomains bounds the failure domains that are remembered.
 const maxDomains = 256
 
 func (d *domain) view() DomainView {
-	return DomainView{Domain: d.name, Digest: d.digest, Made: d.made, Version: d.version, Contacts: d.contacts}
+	return DomainView{Domain: d.name, Digest: d.digest, Made: d.made, Heard: d.heard, Version: d.version, Contacts: d.contacts}
 }
 
 func (c *Core) domainNames() []keel.DomainName {
@@ -71,20 +73,24 @@
 	}
 	d.version = max(d.version, g.Version, g.Highest)
 	c.noteBeacon(g.Beacon)
-	if g.Brief {
-		d.addContacts(d.contacts)
-		return false
-	}
 	made := c.now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
-	if !made.After(d.made) {
-		return false
+	versions := d.versions()
+	newer := g.Live > 0 && versions.followedBy(g, made)
+	if newer {
+		versions = versionsOf(g, made)
+		c.changed = true
 	}
-	d.digest, d.made = *g, made
-	d.addContacts(g.Representatives)
-	for i := range g.Instances {
-		c.noteVoter(g.Instances[i].Name, g.Instances[i].Voter)
+	stored := !g.Brief && made.After(d.made)
+	if stored {
+		d.digest, d.made = *g, made
+		d.addContacts(g.Representatives)
+		for i := range g.Instances {
+			in := &g.Instances[i]
+			c.noteVoter(Contact{Name: in.Name, Peer: in.Peer}, in.Voter)
+		}
 	}
-	return true
+	d.setVersions(versions)
+	return stored
 }
 
 // takeDigest takes a digest that another instance sent.
@@ -95,6 +101,7 @@
 	direct := g.Sender.Name == from
 	if direct {
 		c.noticeVersion(g.Sender.Peer, g.Version, false)
+		c.answerAsk(g)
 	}
 	if !c.storeDigest(g) {
 		return
@@ -222,19 +229,27 @@
 	if !c.self.Voter || c.local.Leaving {
 		return
 	}
-	g := c.briefDigest()
 	for _, name := range c.domainNames() {
 		if place := c.pushPlace(name); place < pushersPerDomain {
 			d := c.domains[name]
-			n := min(len(d.contacts), representatives)
-			if n > 0 {
-				d.told = max(d.told, g.Version)
-				c.send(d.contacts[place%n].Peer, keel.KindDigest, g)
-			}
+			c.tell(d, place, c.lacks(d) && d.asked.exhausted(c.local.Version))
 		}
 	}
 }
 
+// tell sends a brief digest to one of the representatives of d, which may ask
+// for the versions there.
+func (c *Core) tell(d *domain, choice int, ask bool) {
+	n := min(len(d.contacts), representatives)
+	if n == 0 {
+		return
+	}
+	g := c.briefDigest()
+	g.Ask = ask
+	d.told = max(d.told, g.Version)
+	c.send(d.contacts[choice%n].Peer, keel.KindDigest, g)
+}
+
 // pushPlace returns how many voters come before this one in telling a domain.
 func (c *Core) pushPlace(name keel.DomainName) int {
 	own := rank(string(name), string(c.self.Name))
--- a/keelmember/heartbeat.go
+++ b/keelmember/heartbeat.go
@@ -1,6 +1,8 @@
 package keelmember
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -20,7 +22,7 @@
 // beat sends a round of heartbeats if one is due.
 func (c *Core) beat() {
 	due := !c.now.Before(c.nextBeat)
-	push := c.pushDue && c.speaksFirst() && c.now.Sub(c.lastPush) >= pushGap
+	push := c.pushDue && c.now.Sub(c.lastPush) >= pushGap
 	if !due && !push {
 		return
 	}
@@ -34,14 +36,29 @@
 	c.pushDue = c.pushDue && !push && !due
 	c.number++
 	c.raiseBeacon()
+	if !due && !c.speaksFirst() {
+		c.acknowledge()
+		return
+	}
 	digests := c.takeRelays()
 	for _, name := range c.memberNames() {
 		c.beatTo(c.members[name], digests)
 	}
 }
 
-// speaksFirst reports whether others wait for this instance to tell of a new
-// version or that it leaves. The rest tell it with their next heartbeat.
+// acknowledge tells those that report on the domain of the version in force
+// here. The rest hear of it with the next heartbeat.
+func (c *Core) acknowledge() {
+	speakers := c.representatives()
+	for _, name := range c.memberNames() {
+		if m := c.members[name]; m.inst.Voter || slices.Contains(speakers, name) {
+			c.beatTo(m, nil)
+		}
+	}
+}
+
+// speaksFirst reports whether all others wait for this instance to tell of a
+// new version or that it leaves.
 func (c *Core) speaksFirst() bool {
 	return c.self.Voter || c.local.Leaving || c.isRepresentative()
 }
@@ -99,6 +116,7 @@
 func (c *Core) heard(m *member, h *Heartbeat) {
 	m.number = h.Number
 	m.heard, m.listened = c.now, c.listen
+	c.changed = c.changed || h.Version > m.version
 	m.version = max(m.version, h.Version)
 	m.room, m.registered, m.hearsUs = h.Room, h.Registered, h.HearsYou
 	c.joined = c.joined || h.HearsYou
@@ -111,7 +129,7 @@
 		m.inst = *h.Instance
 	}
 	c.noticeVersion(m.inst.Peer, h.Version, true)
-	c.noteVoter(m.inst.Name, m.inst.Voter)
+	c.noteVoter(Contact{Name: m.inst.Name, Peer: m.inst.Peer}, m.inst.Voter)
 	c.noteBeacon(h.Beacon)
 	for i := range h.Digests {
 		c.storeDigest(&h.Digests[i])
@@ -153,14 +171,23 @@
 }
 
 // voterSign is what is known of a voter.
-type voterSign struct{ beacon Beacon }
+type voterSign struct {
+	beacon Beacon
+	peer   netip.AddrPort // invalid until it is known
+}
 
 // maxVoters bounds the voters that are remembered.
 const maxVoters = 16
 
-func (c *Core) noteVoter(name keel.InstanceName, voter bool) {
-	if _, ok := c.voters[name]; !ok && voter && len(c.voters) < maxVoters {
-		c.voters[name] = &voterSign{}
+func (c *Core) noteVoter(at Contact, voter bool) {
+	if !voter {
+		return
+	}
+	if _, ok := c.voters[at.Name]; !ok && len(c.voters) < maxVoters {
+		c.voters[at.Name] = &voterSign{}
+	}
+	if s, ok := c.voters[at.Name]; ok && at.Peer.IsValid() {
+		s.peer = at.Peer
 	}
 }
 
@@ -193,7 +220,7 @@
 	if b == nil {
 		return
 	}
-	c.noteVoter(b.Voter, true)
+	c.noteVoter(Contact{Name: b.Voter}, true)
 	s, ok := c.voters[b.Voter]
 	if !ok {
 		return
--- a/keelmember/hello.go
+++ b/keelmember/hello.go
@@ -114,7 +114,7 @@
 
 // meet notes the sender of a hello.
 func (c *Core) meet(in *keel.Instance) {
-	c.noteVoter(in.Name, in.Voter)
+	c.noteVoter(Contact{Name: in.Name, Peer: in.Peer}, in.Voter)
 	if in.Domain == c.self.Domain {
 		c.learn(*in)
 		return
--- a/keelmember/member.go
+++ b/keelmember/member.go
@@ -1,6 +1,7 @@
 package keelmember
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -29,6 +30,11 @@
 // live reports whether the member takes part in its domain's work.
 func (m *member) live() bool { return m.state() == StateAlive }
 
+// counts reports whether the domain's versions include the member's.
+func (m *member) counts() bool {
+	return m.live() || m.state() == StateSuspect || m.state() == StateLeaving
+}
+
 func (m *member) view() Member {
 	return Member{
 		Instance: m.inst, State: m.state(), Version: m.version, Room: m.room,
@@ -120,6 +126,11 @@
 	return names
 }
 
+// voterNames returns the names of the known voters in order.
+func (c *Core) voterNames() []keel.InstanceName {
+	return slices.Sorted(maps.Keys(c.voters))
+}
+
 // liveNames returns the names of the live instances of the own domain, with
 // this one unless it leaves, in order.
 func (c *Core) liveNames() []keel.InstanceName {
--- a/keelmember/message.go
+++ b/keelmember/message.go
@@ -101,7 +101,8 @@
 	// Sender made the digest; Version is what it has in force.
 	Sender  Contact      `json:"sender" cbor:"3,keyasint"`
 	Version keel.Version `json:"version" cbor:"4,keyasint"`
-	// Brief says that only the fields above are given.
+	// Brief says that only the fields above are given, and the versions if Live
+	// is above 0.
 	Brief bool `json:"brief,omitempty" cbor:"5,keyasint,omitempty"`
 	// Lowest and Highest are versions in force among the Live instances, of
 	// which Lagging have less than Highest.
@@ -123,6 +124,9 @@
 	// without the time that it spent on the wire.
 	AgeMillis int64   `json:"age_millis" cbor:"14,keyasint,omitempty"`
 	Beacon    *Beacon `json:"beacon,omitempty" cbor:"15,keyasint,omitempty"`
+	// Ask says that the sender, a voter, has not heard that its version is in
+	// force in the whole domain of the receiver.
+	Ask bool `json:"ask,omitempty" cbor:"16,keyasint,omitempty"`
 }
 
 // DomainContacts names representatives of a domain.
--- a/keelmember/sim_test.go
+++ b/keelmember/sim_test.go
@@ -34,6 +34,9 @@
 	// fetching has nodes fetch what they are told of at once.
 	fetching bool
 	late     time.Duration // longest extra delay of a message
+	far      time.Duration // delay of a message between domains, if not a hop
+	step     time.Duration // of the time
+	posted   func(from *node, body keel.Checker)
 }
 
 type node struct {
@@ -51,6 +54,7 @@
 	due      time.Time
 	from, to *node
 	body     keel.Checker
+	fetched  keel.Version // instead of a body
 }
 
 func peerAddr(domain, i int) netip.AddrPort {
@@ -72,7 +76,7 @@
 // newSim makes domains of size instances each, which all join by the first
 // instance of the first two domains.
 func newSim(seed uint64, domains, size int) *sim {
-	s := &sim{now: start, byPeer: map[netip.AddrPort][]*node{}, rand: rand.New(rand.NewPCG(seed, 0))}
+	s := &sim{now: start, step: step, byPeer: map[netip.AddrPort][]*node{}, rand: rand.New(rand.NewPCG(seed, 0))}
 	for d := range domains {
 		for i := range size {
 			s.add(instance(d, i, 1))
@@ -108,26 +112,53 @@
 	return m.State
 }
 
-// fetch has a node fetch, in no time, what it was told of.
-func (n *node) fetch() {
+// fetch has a node fetch what it was told of, which takes a message each way.
+func (s *sim) fetch(n *node) {
 	for _, v := range n.notices {
-		n.local.Version = max(n.local.Version, v.Version)
+		if v.Version > n.local.Version && len(s.byPeer[v.Peer]) > 0 {
+			from := s.byPeer[v.Peer][0]
+			if from.down || s.drop != nil && (s.drop(n, from) || s.drop(from, n)) {
+				continue
+			}
+			s.queue = append(s.queue, message{due: s.now.Add(2 * s.delay(n, from)), to: n, fetched: v.Version})
+		}
 	}
 	n.notices = nil
 }
 
-// commit puts a version in force at the voters and returns the time until it
-// is in force everywhere, or limit if that takes longer.
-func (s *sim) commit(v keel.Version, limit time.Duration) time.Duration {
+// delay returns how long a message takes.
+func (s *sim) delay(a, b *node) time.Duration {
+	if s.far > 0 && a.inst.Domain != b.inst.Domain {
+		return s.far
+	}
+	return hop
+}
+
+// install puts a fetched version in force at n.
+func (s *sim) install(n *node, v keel.Version) {
+	if v > n.local.Version {
+		n.local.Version = v
+		s.act(n, n.core.Tick(s.now, n.local))
+	}
+}
+
+// propose puts a version in force at the voters.
+func (s *sim) propose(v keel.Version) {
 	for _, n := range s.nodes {
-		if n.inst.Voter {
+		if n.inst.Voter && !n.down {
 			n.local.Version = v
 			s.act(n, n.core.Tick(s.now, n.local))
 		}
 	}
+}
+
+// commit puts a version in force at the voters and returns the time until it
+// is in force everywhere, or limit if that takes longer.
+func (s *sim) commit(v keel.Version, limit time.Duration) time.Duration {
+	s.propose(v)
 	began := s.now
 	for s.now.Sub(began) < limit {
-		s.run(step)
+		s.run(s.step)
 		lag := func(n *node) bool { return !n.down && n.local.Version < v }
 		if !slices.ContainsFunc(s.nodes, lag) {
 			return s.now.Sub(began)
@@ -137,7 +168,7 @@
 }
 
 func (s *sim) run(d time.Duration) {
-	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(s.step) {
 		s.deliver()
 		for _, n := range s.nodes {
 			if !n.down && !n.core.Next().After(s.now) {
@@ -158,7 +189,11 @@
 	})
 	slices.SortStableFunc(due, func(a, b message) int { return cmp.Compare(a.due.UnixNano(), b.due.UnixNano()) })
 	for _, m := range due {
-		if !m.to.down {
+		switch {
+		case m.to.down:
+		case m.body == nil:
+			s.install(m.to, m.fetched)
+		default:
 			s.act(m.to, m.to.core.Receive(s.now, m.from.inst.Name, m.body))
 		}
 	}
@@ -167,11 +202,7 @@
 func (s *sim) act(n *node, out keelmember.Actions) {
 	n.notices = append(n.notices, out.Versions...)
 	if s.fetching {
-		before := n.local.Version
-		n.fetch()
-		if n.local.Version > before {
-			defer func() { s.act(n, n.core.Tick(s.now, n.local)) }()
-		}
+		s.fetch(n)
 	}
 	for _, m := range out.Sends {
 		body, err := keel.EncodeCBOR(m.Body)
@@ -180,6 +211,9 @@
 		}
 		n.sent++
 		n.bytes += len(body)
+		if s.posted != nil {
+			s.posted(n, m.Body)
+		}
 		for _, to := range s.byPeer[m.To] {
 			if !to.down {
 				s.post(n, to, body, m.Body)
@@ -216,6 +250,6 @@
 		if s.late > 0 {
 			extra = time.Duration(s.rand.Int64N(int64(s.late)))
 		}
-		s.queue = append(s.queue, message{due: s.now.Add(hop + extra), from: from, to: to, body: got})
+		s.queue = append(s.queue, message{due: s.now.Add(s.delay(from, to) + extra), from: from, to: to, body: got})
 	}
 }
--- a/keelmember/view.go
+++ b/keelmember/view.go
@@ -51,6 +51,9 @@
 	// Digest is the last one; without one Made is zero.
 	Digest Digest    `json:"digest"`
 	Made   time.Time `json:"made,omitzero"`
+	// Heard is when the versions of the digest were true, which reports renew
+	// without the rest.
+	Heard time.Time `json:"heard,omitzero"`
 	// Version is the highest version that any message named.
 	Version  keel.Version `json:"version"`
 	Contacts []Contact    `json:"contacts"`
@@ -220,9 +223,22 @@
 	}
 }
 
+// named returns the instances that a digest names, all with the highest version
+// there, or the sender if it names none.
+func (g *Digest) named() []Lag {
+	if len(g.Instances) == 0 {
+		return []Lag{{Name: g.Sender.Name, Version: g.Version}}
+	}
+	lags := make([]Lag, 0, len(g.Instances))
+	for _, in := range g.Instances {
+		lags = append(lags, Lag{Name: in.Name, Version: g.Highest})
+	}
+	return lags
+}
+
 func (c *Confirmation) addOther(v *View, domain keel.DomainName) {
 	i := slices.IndexFunc(v.Others, func(d DomainView) bool { return d.Domain == domain })
-	if i < 0 || v.Others[i].Made.IsZero() || v.Others[i].Age(v.Time) > maxConfirmAge {
+	if i < 0 || v.Others[i].Heard.IsZero() || v.Time.Sub(v.Others[i].Heard) > maxConfirmAge {
 		c.Unheard = append(c.Unheard, domain)
 		return
 	}
@@ -232,7 +248,7 @@
 	}
 	if d.Highest < c.Version {
 		c.Lagging += d.Live
-		c.Lags = append(c.Lags, Lag{Name: d.Sender.Name, Version: d.Version})
+		c.Lags = append(c.Lags, d.named()...)
 		return
 	}
 	for _, l := range d.Lags {
--- a/keeloperate/app.go
+++ b/keeloperate/app.go
@@ -89,8 +89,9 @@
 	Submit(ctx context.Context, c keel.Change) (keel.Outcome, error)
 	// History returns at most limit accepted changes, the newest first.
 	History(limit int) History
-	// InForce says where a version is in force.
-	InForce(v keel.Version) InForce
+	// InForce says where a version is in force. It asks voters if it must, until
+	// ctx ends at the latest.
+	InForce(ctx context.Context, v keel.Version) InForce
 }
 
 // State is the part of an instance that tells how it is.
@@ -121,6 +122,7 @@
 	defaultMaxChangeBytes = 64 << 20
 	defaultHistoryLimit   = 50
 	submitTimeout         = 10 * time.Second
+	inForceTimeout        = 2 * time.Second
 	bearer                = "Bearer "
 )
 
@@ -174,7 +176,9 @@
 	if err != nil {
 		return err
 	}
-	return c.JSON(h.cfg.Control.InForce(keel.Version(v)))
+	ctx, cancel := context.WithTimeout(c.Context(), inForceTimeout)
+	defer cancel()
+	return c.JSON(h.cfg.Control.InForce(ctx, keel.Version(v)))
 }
 
 func number(c fiber.Ctx, name string, byDefault int) (int, error) {
--- a/keeloperate/client.go
+++ b/keeloperate/client.go
@@ -72,14 +72,18 @@
 // WaitInForce waits until every live instance reports the version, or until ctx
 // ends. It returns what it saw last.
 func (c *Client) WaitInForce(ctx context.Context, v keel.Version) (InForce, error) {
+	last := InForce{Version: v}
 	for {
 		f, err := c.InForce(ctx, v)
-		if err == nil && f.Everywhere {
-			return f, nil
+		if err == nil {
+			last = f
+		}
+		if last.Everywhere {
+			return last, nil
 		}
 		select {
 		case <-ctx.Done():
-			return f, errors.Wrapf(ctx.Err(), "wait for version %d", v)
+			return last, errors.Wrapf(ctx.Err(), "wait for version %d", v)
 		case <-time.After(inForcePoll):
 		}
 	}
--- a/keelscenario/change.go
+++ b/keelscenario/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -115,3 +116,20 @@
 		return true, ""
 	})
 }
+
+// cmdInForce waits until an instance says that $version is in force everywhere,
+// or that just the named instances lag.
+func cmdInForce(c *cluster, args []string) {
+	client := c.client(c.instance(args[0]))
+	version := keel.Version(c.number(c.ts.Getenv("version")))
+	want := instanceNames(args[1:])
+	c.until(fmt.Sprintf("version %d in force, lagging %q", version, want), func() (bool, string) {
+		f, err := client.InForce(c.ctx, version)
+		if err != nil {
+			return false, err.Error()
+		}
+		slices.Sort(f.Lagging)
+		ok := f.Everywhere == (len(want) == 0) && slices.Equal(f.Lagging, want)
+		return ok, fmt.Sprintf("everywhere %t, lagging %q, unheard %q", f.Everywhere, f.Lagging, f.Unheard)
+	})
+}
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -106,6 +106,7 @@
 		"race":      {cmdRace, "OPERATORS INSTANCE...", 2},
 		"changes":   {cmdChanges, "INSTANCE COUNT PREFIX", 3},
 		"resend":    {cmdResend, "INSTANCE ID", 2},
+		"inforce":   {cmdInForce, "INSTANCE [LAGGING...]", 1},
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -25,6 +25,7 @@
 	KindCredit    MessageKind = 11 // keeladmit: wants and grants between domains
 	KindShares    MessageKind = 12 // keelroute: share vectors
 	KindHandOver  MessageKind = 13 // ownership hand-over at a planned stop
+	KindInForce   MessageKind = 14 // question to a voter where a version is in force
 )
 
 // Envelope is one message between instances.
