keelsteer, keelguard: fewer allocations and locks for each request

A request in flight is one key of a flat map instead of a map of maps, a permission is looked for before anything else is made to give it back, the state of a dispatched request and its answer's body are one allocation, the retry budget is counted under the lock that chooses the domain, an only owner is not compared with itself, and an idle connection is asked with poll, which needs no address to write to.

--- a/keelguard/poison.go
+++ b/keelguard/poison.go
@@ -50,6 +50,12 @@
 	crashRetry = time.Second
 )
 
+// flight is a request at an endpoint.
+type flight struct {
+	endpoint keel.EndpointID
+	request  ID
+}
+
 // Poison keeps the evidence against requests. A request in flight at an
 // endpoint that crashed is a suspect: it may take one more endpoint, with the
 // permission of its fingerprint's home, apart from other suspects. If that one
@@ -60,7 +66,7 @@
 type Poison struct {
 	cfg      PoisonConfig
 	entries  map[ID]*poisonEntry
-	inFlight map[keel.EndpointID]map[ID]int
+	inFlight map[flight]int
 	// crashes holds the crash of each endpoint that no fresh connection has
 	// confirmed or disproved yet.
 	crashes map[keel.EndpointID]Death
@@ -89,7 +95,7 @@
 	return &Poison{
 		cfg:      cfg,
 		entries:  map[ID]*poisonEntry{},
-		inFlight: map[keel.EndpointID]map[ID]int{},
+		inFlight: map[flight]int{},
 		crashes:  map[keel.EndpointID]Death{},
 	}
 }
@@ -152,11 +158,9 @@
 	for _, d := range crashes {
 		out = append(out, d.Endpoint)
 	}
-	for endpoint, requests := range p.inFlight {
-		for other := range requests {
-			if other != fp && p.suspect(now, other) && !slices.Contains(out, endpoint) {
-				out = append(out, endpoint)
-			}
+	for f := range p.inFlight {
+		if f.request != fp && p.suspect(now, f.request) && !slices.Contains(out, f.endpoint) {
+			out = append(out, f.endpoint)
 		}
 	}
 	slices.SortFunc(out, func(a, b keel.EndpointID) int { return cmp.Compare(a.String(), b.String()) })
@@ -166,20 +170,17 @@
 // Started notes that a request was sent to an endpoint. Exactly one of
 // [Poison.Ended], [Poison.Abandoned] and [Poison.Died] follows.
 func (p *Poison) Started(_ time.Time, fp ID, endpoint keel.EndpointID) {
-	if p.inFlight[endpoint] == nil {
-		p.inFlight[endpoint] = map[ID]int{}
-	}
-	p.inFlight[endpoint][fp]++
+	p.inFlight[flight{endpoint, fp}]++
 }
 
 func (p *Poison) leave(fp ID, endpoint keel.EndpointID) {
-	requests := p.inFlight[endpoint]
-	if requests[fp]--; requests[fp] <= 0 {
-		delete(requests, fp)
-	}
-	if len(requests) == 0 {
-		delete(p.inFlight, endpoint)
+	f := flight{endpoint, fp}
+	n := p.inFlight[f] - 1
+	if n <= 0 {
+		delete(p.inFlight, f)
+		return
 	}
+	p.inFlight[f] = n
 }
 
 // Ended notes that the endpoint gave its whole answer. This clears the request,
--- a/keelguard/service.go
+++ b/keelguard/service.go
@@ -361,12 +361,15 @@
 // giveBack returns a permission, together with what was learnt by using it.
 func (s *Service) giveBack(fp ID) {
 	s.mu.Lock()
-	used := s.permits[fp]
+	if !s.permits[fp] {
+		s.mu.Unlock()
+		return
+	}
 	delete(s.permits, fp)
 	m := Message{Evidence: s.poison.EvidenceOf(s.cfg.Clock.Now(), fp), Return: &fp}
 	s.mu.Unlock()
 	home, ok := s.home(fp)
-	if !used || !ok {
+	if !ok {
 		return
 	}
 	if _, err := s.exchange(context.Background(), home, m); err != nil {
--- a/keelproxy/context.go
+++ b/keelproxy/context.go
@@ -26,19 +26,17 @@
 }
 
 // WithDeadline is [context.WithDeadline], without the cost of a second context
-// if ctx is that of a caller's request. A request has one deadline.
+// if ctx is that of a caller's request. A request has one deadline. The cancel
+// function is nil if the context ends with the request without it.
 func WithDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	c, ok := ctx.(*requestContext)
 	if !ok {
 		return context.WithDeadline(ctx, deadline)
 	}
 	c.setDeadline(deadline)
-	return c, endedByFront
+	return c, nil
 }
 
-// endedByFront is the cancel function of a context that ends with its request.
-func endedByFront() {}
-
 func (c *requestContext) setDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -34,6 +34,7 @@
 	// abandon ends the current request, whose body is body.
 	abandon hook
 	body    io.Reader
+	sending requestBody
 }
 
 func newEndpointConn(c *EndpointClient, id uint64, t Target, nc net.Conn) *endpointConn {
@@ -135,7 +136,7 @@
 	sendErr := conn.send(r)
 	// Without the rest of the body, an endpoint that has not answered yet may
 	// wait for it until the deadline.
-	if broken := (*bodyError)(nil); errors.As(sendErr, &broken) && conn.peek.quiet() {
+	if conn.sending.err != nil && conn.peek.quiet() {
 		return errors.Wrap(sendErr, "send request")
 	}
 	// An endpoint may answer and close before it has read the whole request,
@@ -158,8 +159,9 @@
 func (conn *endpointConn) send(r *Request) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	body := requestBody{r: r.Body}
-	fillRequest(req, r, &body)
+	conn.sending = requestBody{r: r.Body}
+	body := &conn.sending
+	fillRequest(req, r, body)
 	err := req.Write(conn.w)
 	if err == nil {
 		err = conn.w.Flush()
--- a/keelproxy/peek.go
+++ b/keelproxy/peek.go
@@ -15,6 +15,8 @@
 	err error
 	// look is made once, since a function for each call is an allocation.
 	look    func(fd uintptr)
+	ask     func(fd uintptr)
+	polled  [1]unix.PollFd
 	n       int
 	recvErr error
 	b       [1]byte
@@ -31,6 +33,10 @@
 	p.look = func(fd uintptr) {
 		p.n, _, p.recvErr = unix.Recvfrom(int(fd), p.b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	}
+	p.ask = func(fd uintptr) {
+		p.polled[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
+		p.n, p.recvErr = unix.Poll(p.polled[:], 0)
+	}
 	return p
 }
 
@@ -48,8 +54,11 @@
 
 // quiet reports whether the connection is open and has nothing to read.
 func (p *peeker) quiet() bool {
-	n, err := p.peek()
-	return n < 0 && errors.Is(err, syscall.EAGAIN)
+	if p.err != nil {
+		return false
+	}
+	err := p.raw.Control(p.ask)
+	return err == nil && p.recvErr == nil && p.n == 0
 }
 
 // gone reports whether the other side has closed the connection.
--- a/keelsteer/body.go
+++ b/keelsteer/body.go
@@ -33,16 +33,18 @@
 	reads atomic.Bool
 }
 
-// trackBody makes the body of r tell whether it was read from.
+// trackBody makes the body of r tell whether it was read from. It returns nil if
+// there is none.
 func trackBody(r *keelproxy.Request) *trackedBody {
-	b := &trackedBody{r: r.Body}
-	if r.Body != nil {
-		r.Body = b
+	if r.Body == nil {
+		return nil
 	}
+	b := &trackedBody{r: r.Body}
+	r.Body = b
 	return b
 }
 
-func (b *trackedBody) touched() bool { return b.reads.Load() }
+func (b *trackedBody) touched() bool { return b != nil && b.reads.Load() }
 
 // Read reads from the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -21,7 +21,6 @@
 	target keelproxy.Target
 	fp     keelguard.ID
 	start  time.Time
-	once   sync.Once
 }
 
 // failed ends a request that got no answer.
@@ -62,19 +61,19 @@
 	x.e.cfg.Guard.Share(ctx)
 }
 
+// end gives the slot back. It is called once: by failed for a request without an
+// answer, and else when the answer's body is closed.
 func (x *dispatched) end(o keeladmit.Outcome) {
-	x.once.Do(func() {
-		now := time.Now()
-		x.pool.release(x.target.ID, o, now.Sub(x.start))
-		x.e.noteEnded(now, x.pool, x.target.ID)
-	})
+	now := time.Now()
+	x.pool.release(x.target.ID, o, now.Sub(x.start))
+	x.e.noteEnded(now, x.pool, x.target.ID)
 }
 
 // observedBody is the body of an endpoint's answer. It ends the request when it
 // is closed.
 type observedBody struct {
 	io.ReadCloser
-	x    *dispatched
+	dispatched
 	err  error
 	once sync.Once
 }
@@ -92,19 +91,19 @@
 // the server closes the body of an answer to HEAD twice.
 func (b *observedBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(b.end)
+	b.once.Do(b.endAnswer)
 	return err
 }
 
-func (b *observedBody) end() {
+func (b *observedBody) endAnswer() {
 	switch {
-	case b.err != nil && b.x.ctx.Err() == nil:
-		b.x.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
+	case b.err != nil && b.ctx.Err() == nil:
+		b.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
 	case b.err != nil:
-		b.x.e.cfg.Guard.Abandoned(b.x.fp, b.x.target.ID)
-		b.x.end(keeladmit.OutcomeCancelled)
+		b.e.cfg.Guard.Abandoned(b.fp, b.target.ID)
+		b.end(keeladmit.OutcomeCancelled)
 	default:
-		b.x.e.cfg.Guard.Ended(b.x.fp, b.x.target.ID)
-		b.x.end(keeladmit.OutcomeOK)
+		b.e.cfg.Guard.Ended(b.fp, b.target.ID)
+		b.end(keeladmit.OutcomeOK)
 	}
 }
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -100,6 +100,9 @@
 	if len(list) == 0 {
 		return owner{}, false
 	}
+	if len(list) == 1 {
+		return list[0], true
+	}
 	for _, o := range list {
 		if o.instance.Name == e.cfg.Self.Name && p.pools[sel.Service].room(time.Now(), sel.Service).Free > 0 {
 			return o, true
@@ -222,13 +225,14 @@
 // dispatch sends the request to an endpoint whose slot it holds. The slot is
 // given back when the answer ends.
 func (e *Engine) dispatch(ctx context.Context, pl *pool, t keelproxy.Target, r *keelproxy.Request) (*keelproxy.Answer, error) {
-	x := &dispatched{e: e, ctx: ctx, pool: pl, target: t, fp: keelguard.ID(r.Fingerprint), start: time.Now()}
+	x := &observedBody{dispatched: dispatched{e: e, ctx: ctx, pool: pl, target: t, fp: keelguard.ID(r.Fingerprint), start: time.Now()}}
 	e.cfg.Guard.Started(x.fp, t.ID)
 	answer, err := e.client.Dispatch(ctx, t, r)
 	if err != nil {
 		x.failed(err)
 		return nil, err
 	}
-	answer.Body = &observedBody{ReadCloser: answer.Body, x: x}
+	x.ReadCloser = answer.Body
+	answer.Body = x
 	return answer, nil
 }
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"sync"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -24,6 +26,9 @@
 	e.prepare(p, sel, r)
 	ctx, cancel := keelproxy.WithDeadline(ctx, r.Deadline)
 	answer, err := e.runClass(ctx, p, sel, r)
+	if cancel == nil {
+		return answer, err
+	}
 	if err != nil {
 		cancel()
 		return nil, err
@@ -55,10 +60,9 @@
 func (e *Engine) runShared(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
 	src := keelroute.Source{Selector: sel.Name, Region: r.Source}
 	body := trackBody(r)
-	e.countRequest()
 	var failed error
 	for try := 1; ; try++ {
-		domain, refusal := e.pick(p, sel, src, r)
+		domain, refusal := e.pick(p, sel, src, r, try)
 		if refusal != nil {
 			return nil, outcome(failed, refusal)
 		}
@@ -82,19 +86,16 @@
 	return err
 }
 
-func (e *Engine) countRequest() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.retry.Request()
-}
-
 // pick returns the failure domain for a request. Callers of one block fall into
 // the same part of the share vector at every instance, so that a caller whom a
 // look-up sent here is served here.
-func (e *Engine) pick(p *plan, sel *keel.Selector, src keelroute.Source, r *keelproxy.Request) (keel.DomainName, *keel.Refusal) {
+func (e *Engine) pick(p *plan, sel *keel.Selector, src keelroute.Source, r *keelproxy.Request, try int) (keel.DomainName, *keel.Refusal) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if try == 1 {
+		e.retry.Request()
+	}
 	if _, known := e.demand[src]; !known {
 		e.startSource(now, p, sel, src)
 	}
@@ -136,8 +137,7 @@
 // runIn runs a request in one failure domain and counts it there until its
 // answer ends.
 func (e *Engine) runIn(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request, src keelroute.Source, domain keel.DomainName) (*keelproxy.Answer, error) {
-	done := e.countDemand(src, domain)
-	start := time.Now()
+	l, start := e.countDemand(src, domain)
 	var (
 		answer *keelproxy.Answer
 		err    error
@@ -148,30 +148,51 @@
 		answer, err = e.runRemote(ctx, p, sel, r, domain)
 	}
 	if err != nil {
-		done()
+		e.endDemand(l)
 		return nil, err
 	}
 	e.observe(sel.Service, domain, time.Since(start))
-	answer.Body = onClose(answer.Body, done)
+	answer.Body = &demandBody{ReadCloser: answer.Body, e: e, load: l}
 	return answer, nil
 }
 
-// countDemand counts a request of a source at a domain. The function that it
-// returns takes the request off again.
-func (e *Engine) countDemand(src keelroute.Source, domain keel.DomainName) func() {
+// countDemand counts a request of a source at a domain, until endDemand is
+// called with the load that it returns, and returns the present time.
+func (e *Engine) countDemand(src keelroute.Source, domain keel.DomainName) (*load, time.Time) {
+	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.demand[src][domain]
 	if l == nil {
 		l = newLoad()
-		l.last = time.Now()
+		l.last = now
 		e.demand[src][domain] = l
 	}
 	l.now++
 	l.begun++
-	return func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		l.now--
-	}
+	return l, now
+}
+
+func (e *Engine) endDemand(l *load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.now--
+}
+
+// demandBody is the body of an answer whose request is counted until it is
+// closed.
+type demandBody struct {
+	io.ReadCloser
+	e    *Engine
+	load *load
+	once sync.Once
 }
+
+// Close closes the body and takes the request off.
+func (b *demandBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
+
+func (b *demandBody) end() { b.e.endDemand(b.load) }
