keelproxy, keelsteer, keelguard: buffers for a request only, fewer clock readings

Buffers of connections to endpoints are held during a request only, so that an unused connection no longer keeps 68 KiB, and 1,024 instead of 64 of them are kept for one endpoint: at 700 connections most were closed after one request. The clock is read for the guard only if there is evidence, and once for the take of a connection; texts of a header are sized by the header.

--- a/keelguard/poison.go
+++ b/keelguard/poison.go
@@ -167,6 +167,13 @@
 	return out
 }
 
+// Known reports whether there may be evidence against a request. Without it the
+// time does not matter to Before, Started and Ended.
+func (p *Poison) Known(fp ID) bool {
+	_, ok := p.entries[fp]
+	return ok
+}
+
 // Started notes that a request was sent to an endpoint. Exactly one of
 // [Poison.Ended], [Poison.Abandoned] and [Poison.Died] follows.
 func (p *Poison) Started(_ time.Time, fp ID, endpoint keel.EndpointID) {
--- a/keelguard/service.go
+++ b/keelguard/service.go
@@ -251,6 +251,9 @@
 func (s *Service) Before(fp ID) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.poison.Known(fp) {
+		return Decision{Allow: true}
+	}
 	d := s.poison.Before(s.cfg.Clock.Now(), fp)
 	if d.Refuse != nil && !d.AskHome {
 		s.refused++
@@ -320,13 +323,28 @@
 // Started notes that a request was sent to an endpoint. Exactly one of Ended,
 // Abandoned and Died follows.
 func (s *Service) Started(fp ID, endpoint keel.EndpointID) {
-	s.update(func(now time.Time) { s.poison.Started(now, fp, endpoint) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.Started(time.Time{}, fp, endpoint)
 }
 
 // Ended notes that the endpoint gave its whole answer.
 func (s *Service) Ended(fp ID, endpoint keel.EndpointID) {
-	s.update(func(now time.Time) { s.poison.Ended(now, fp, endpoint) })
-	s.giveBack(fp)
+	if s.ended(fp, endpoint) {
+		s.giveBack(fp)
+	}
+}
+
+// ended reports whether a permission is to be given back.
+func (s *Service) ended(fp ID, endpoint keel.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var now time.Time
+	if s.poison.Known(fp) {
+		now = s.cfg.Clock.Now()
+	}
+	s.poison.Ended(now, fp, endpoint)
+	return s.permits[fp]
 }
 
 // Abandoned notes that the request was given up while its connection was well.
--- a/keelproxy/arena.go
+++ b/keelproxy/arena.go
@@ -2,13 +2,15 @@
 
 import "strings"
 
-// arenaBytes is the first size of an arena. The header of most requests and
-// answers fits.
-const arenaBytes = 512
+// arenaBytes is the least size of the memory that an arena takes.
+const arenaBytes = 128
 
 // arena holds the texts of one message in few allocations.
 type arena struct{ b strings.Builder }
 
+// grow makes room for texts of so many bytes.
+func (a *arena) grow(size int) { a.b.Grow(max(size, arenaBytes)) }
+
 // text returns a copy of b.
 func (a *arena) text(b []byte) string {
 	if len(b) == 0 {
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -1,6 +1,7 @@
 package keelproxy
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/netip"
@@ -48,7 +49,7 @@
 const (
 	defaultDialTimeout    = time.Second
 	defaultIdleTimeout    = 30 * time.Second
-	defaultMaxIdle        = 64
+	defaultMaxIdle        = 1024
 	defaultMaxHeaderBytes = 64 << 10
 )
 
@@ -56,7 +57,9 @@
 // at a time, and is closed if its request was given up, if the endpoint sent
 // more than one answer, or if the answer did not repeat the request id.
 type EndpointClient struct {
-	cfg ClientConfig
+	cfg     ClientConfig
+	readers sync.Pool
+	writers sync.Pool
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*endpointConn
@@ -92,7 +95,8 @@
 // complete. The error is a [keel.Refusal] with the verdict [keel.NotRun] only if
 // no byte was sent.
 func (c *EndpointClient) Dispatch(ctx context.Context, t Target, r *Request) (*Answer, error) {
-	conn, err := c.take(ctx, t)
+	now := time.Now()
+	conn, err := c.take(ctx, now, t)
 	if err != nil {
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, err)
 	}
@@ -175,13 +179,13 @@
 	}
 }
 
-func (c *EndpointClient) take(ctx context.Context, t Target) (*endpointConn, error) {
+func (c *EndpointClient) take(ctx context.Context, now time.Time, t Target) (*endpointConn, error) {
 	for {
 		conn := c.popIdle(t.Address)
 		if conn == nil {
 			return c.dial(ctx, t)
 		}
-		if conn.usable(c.cfg.IdleTimeout) {
+		if conn.usable(now, c.cfg.IdleTimeout) {
 			return conn, nil
 		}
 		conn.close()
@@ -213,6 +217,29 @@
 	return true
 }
 
+// lendBuffers gives a connection the buffers for one request.
+func (c *EndpointClient) lendBuffers(conn *endpointConn) {
+	if r, ok := c.readers.Get().(*bufio.Reader); ok {
+		r.Reset(&conn.reading)
+		conn.r = r
+	} else {
+		conn.r = bufio.NewReaderSize(&conn.reading, c.cfg.MaxHeaderBytes)
+	}
+	if w, ok := c.writers.Get().(*bufio.Writer); ok {
+		w.Reset(&conn.writing)
+		conn.w = w
+	} else {
+		conn.w = bufio.NewWriter(&conn.writing)
+	}
+}
+
+// takeBuffers takes the buffers back.
+func (c *EndpointClient) takeBuffers(conn *endpointConn) {
+	c.readers.Put(conn.r)
+	c.writers.Put(conn.w)
+	conn.r, conn.w = nil, nil
+}
+
 func (c *EndpointClient) dial(ctx context.Context, t Target) (*endpointConn, error) {
 	d := net.Dialer{Timeout: c.cfg.DialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", t.Address.String())
@@ -263,7 +290,7 @@
 func (noObserver) Closed(uint64, time.Time)         {}
 
 // fillRequest writes r into the library's request.
-func fillRequest(out *fasthttp.Request, r *Request, body *requestBody) {
+func fillRequest(out *fasthttp.Request, r *Request, body *requestBody, now time.Time) {
 	out.Header.DisableNormalizing()
 	out.Header.SetMethod(r.Method)
 	out.Header.SetRequestURI(r.URI)
@@ -272,7 +299,7 @@
 	}
 	out.Header.SetHost(r.Host)
 	out.Header.Set(HeaderRequestID, r.ID)
-	if left := time.Until(r.Deadline); left > 0 {
+	if left := r.Deadline.Sub(now); left > 0 {
 		out.Header.Set(HeaderTimeout, left.Round(time.Millisecond).String())
 	}
 	if r.Body != nil {
--- a/keelproxy/endpointanswer.go
+++ b/keelproxy/endpointanswer.go
@@ -10,6 +10,9 @@
 // answerFields are those fields of an answer that are for the system itself.
 var answerFields = []string{HeaderRequestID}
 
+// answerTextBytes is the usual size of the texts in the header of an answer.
+const answerTextBytes = 256
+
 // endpointAnswer is an answer with its body, in one allocation.
 type endpointAnswer struct {
 	answer Answer
@@ -24,6 +27,7 @@
 	a.body.r = bodyReader(resp)
 	a.body.atEnd = resp.BodyStream() == nil
 	var texts arena
+	texts.grow(answerTextBytes)
 	f := newHeaderFilter(string(resp.Header.Peek("Connection")), answerFields, &texts, a.fields[:0])
 	for name, value := range resp.Header.All() {
 		f.add(name, value)
@@ -79,6 +83,7 @@
 	fasthttp.ReleaseResponse(b.resp)
 	conn := b.conn
 	keep := alive && b.reusable && b.atEnd && conn.r.Buffered() == 0
+	conn.client.takeBuffers(conn)
 	if !keep {
 		conn.close()
 		return nil
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -20,8 +20,13 @@
 	target Target
 	nc     net.Conn
 	peek   *peeker
-	r      *bufio.Reader
-	w      *bufio.Writer
+	// r and w are held during a request only, so that an unused connection
+	// costs little.
+	r *bufio.Reader
+	w *bufio.Writer
+	// reading and writing are what r and w work on.
+	reading stepReader
+	writing stepWriter
 	// sent counts the bytes that the operating system took for the current
 	// request.
 	sent atomic.Int64
@@ -39,15 +44,14 @@
 
 func newEndpointConn(c *EndpointClient, id uint64, t Target, nc net.Conn) *endpointConn {
 	conn := &endpointConn{client: c, id: id, target: t, nc: nc, peek: newPeeker(nc)}
-	conn.r = bufio.NewReaderSize(stepReader{conn}, c.cfg.MaxHeaderBytes)
-	conn.w = bufio.NewWriter(stepWriter{conn})
+	conn.reading.conn, conn.writing.conn = conn, conn
 	conn.abandon.f = conn.giveUp
 	return conn
 }
 
 type stepReader struct{ conn *endpointConn }
 
-func (s stepReader) Read(b []byte) (int, error) {
+func (s *stepReader) Read(b []byte) (int, error) {
 	s.conn.steps.Add(1)
 	n, err := s.conn.nc.Read(b)
 	s.conn.steps.Add(1)
@@ -56,7 +60,7 @@
 
 type stepWriter struct{ conn *endpointConn }
 
-func (s stepWriter) Write(b []byte) (int, error) {
+func (s *stepWriter) Write(b []byte) (int, error) {
 	s.conn.steps.Add(1)
 	n, err := s.conn.nc.Write(b)
 	s.conn.steps.Add(1)
@@ -80,11 +84,8 @@
 // usable reports whether the connection can carry another request: it is
 // neither too old, nor closed by the endpoint, nor has it unread bytes, which
 // would be taken for the next answer.
-func (conn *endpointConn) usable(maxIdle time.Duration) bool {
-	if time.Since(conn.idleSince) > maxIdle || conn.r.Buffered() > 0 {
-		return false
-	}
-	return conn.peek.quiet()
+func (conn *endpointConn) usable(now time.Time, maxIdle time.Duration) bool {
+	return now.Sub(conn.idleSince) <= maxIdle && conn.peek.quiet()
 }
 
 // exchange sends r and reads the header of its answer.
@@ -93,6 +94,7 @@
 	if err := conn.nc.SetDeadline(r.Deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
+	conn.client.lendBuffers(conn)
 	stop := conn.follow(ctx, r.Body)
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
@@ -100,6 +102,7 @@
 	if err := conn.roundTrip(r, resp); err != nil {
 		stop.stop()
 		fasthttp.ReleaseResponse(resp)
+		conn.client.takeBuffers(conn)
 		return nil, err
 	}
 	return conn.answerOf(r, resp, stop), nil
@@ -161,7 +164,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	conn.sending = requestBody{r: r.Body}
 	body := &conn.sending
-	fillRequest(req, r, body)
+	fillRequest(req, r, body, time.Now())
 	err := req.Write(conn.w)
 	if err == nil {
 		err = conn.w.Flush()
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -183,6 +183,7 @@
 func (f *Front) parse(fctx *fasthttp.RequestCtx, p *proxied) *keel.Refusal {
 	h := &fctx.Request.Header
 	var texts arena
+	texts.grow(len(h.RawHeaders()) + len(h.RequestURI()) + len(h.Method()))
 	r := &p.request
 	*r = Request{
 		ID:            texts.text(h.Peek(HeaderRequestID)),
@@ -192,6 +193,7 @@
 		Host:          texts.text(h.Host()),
 		ContentLength: int64(h.ContentLength()),
 		Caller:        p.conn.addr,
+		Begun:         p.start,
 		Key:           texts.text(h.Peek(HeaderKey)),
 		Ticket:        texts.text(h.Peek(HeaderTicket)),
 	}
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -78,6 +78,8 @@
 	// Via is the failure domain of the instance that sent the request here.
 	Via keel.DomainName `cbor:"16,keyasint,omitempty"`
 
+	// Begun is when a caller's request was taken.
+	Begun    time.Time `cbor:"-"`
 	Key      string    `cbor:"-"`
 	Ticket   string    `cbor:"-"`
 	Deadline time.Time `cbor:"-"`
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -43,7 +43,10 @@
 		r.Timeout = sel.Deadline.Std()
 	}
 	r.Selector = sel.Name
-	r.Deadline = time.Now().Add(r.Timeout)
+	if r.Begun.IsZero() {
+		r.Begun = time.Now()
+	}
+	r.Deadline = r.Begun.Add(r.Timeout)
 	_, r.Source = p.lookup.Source(r.Caller)
 	r.Fingerprint = uint64(keelguard.Fingerprint(r.Service, r.Method, r.URI, r.Key, uint64(r.ContentLength)))
 }
@@ -151,7 +154,7 @@
 		e.endDemand(l)
 		return nil, err
 	}
-	e.observe(sel.Service, domain, time.Since(start))
+	e.observe(time.Now(), sel.Service, domain, start)
 	answer.Body = &demandBody{ReadCloser: answer.Body, e: e, load: l}
 	return answer, nil
 }
--- a/keelsteer/settling.go
+++ b/keelsteer/settling.go
@@ -19,10 +19,10 @@
 }
 
 // observe takes in how long a failure domain took to begin its answer.
-func (e *Engine) observe(service keel.ServiceName, domain keel.DomainName, took time.Duration) {
+func (e *Engine) observe(now time.Time, service keel.ServiceName, domain keel.DomainName, start time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.settlingOf(service).Observe(time.Now(), domain, took)
+	e.settlingOf(service).Observe(now, domain, now.Sub(start))
 }
 
 // noteGrowth compares the vector of a source with the one before. The caller
