keelguard: a suspect's home that restarts or is lost no longer blocks pages

Cause: the known red script (stop_during_endpoint_crash, and poison_request on a busy machine) stood still with 12 free slots. The new dumps at a failure show it: the page that all callers read was in flight when an endpoint crashed, so it was a suspect, and its home refused every further run. A home gave no permission for a minute after its start; one that could not be reached gave none for the 15 min of retention; and a permission whose answer or return was lost counted as used for 15 min. The details of the load hid it, since they hold the first ten refusals, which came from the first lease of the endpoints' owner. Ruled out: owners, hand-over, ejection and ramp (the dump shows them in order).

Change: the home is the first live one of the registered instances; one that started, or that takes the place of a lost home, asks the live instances which permissions they use and gives its own once all have told (5 s after a start at the earliest). A home asks the user of an old permission whether it still uses it. A whole answer clears a request after two crashes too: with a rack lost under load, the most read page was refused everywhere for 15 min. A look-up of the client waits 5 s at most. The dump shows owners, usable slots and the guard's permissions, and a script that fails prints every dump.

--- a/keeladmit/endpoint.go
+++ b/keeladmit/endpoint.go
@@ -95,6 +95,15 @@
 	return 0
 }
 
+// Usable returns how many requests this instance may run at the endpoint at
+// once. It is 0 while the endpoint takes no new work.
+func (q *Queue) Usable(now time.Time, id keel.EndpointID) int {
+	if e := q.find(id); e != nil && e.takes(now) {
+		return e.view.Usable()
+	}
+	return 0
+}
+
 // Slots returns how many slots of endpoints that take work there are, and how
 // many of them are free.
 func (q *Queue) Slots(now time.Time) (slots, free int) {
--- a/keeladmit/owner.go
+++ b/keeladmit/owner.go
@@ -144,6 +144,26 @@
 	return e.owner, e.owner != "" && !now.Before(e.readyAt)
 }
 
+// Ownership is the state of one endpoint in [Owners].
+type Ownership struct {
+	Endpoint keel.EndpointID   `json:"endpoint"`
+	Owner    keel.InstanceName `json:"owner"`
+	// ReadyAt is when the owner may start work there.
+	ReadyAt time.Time `json:"ready_at"`
+	// Busy is how many requests the owner before still runs there.
+	Busy int `json:"busy"`
+}
+
+// List returns the state of every known endpoint, in order.
+func (o *Owners) List() []Ownership {
+	out := make([]Ownership, 0, len(o.endpoints))
+	for id, e := range o.endpoints {
+		out = append(out, Ownership{Endpoint: id, Owner: e.owner, ReadyAt: e.readyAt, Busy: e.busy})
+	}
+	slices.SortFunc(out, func(a, b Ownership) int { return compareIDs(a.Endpoint, b.Endpoint) })
+	return out
+}
+
 // SlotsOf returns how many of an endpoint's slots its owner may use now, as
 // this instance sees it.
 func (o *Owners) SlotsOf(now time.Time, id keel.EndpointID, slots int) int {
--- a/keelguard/dump.go
+++ b/keelguard/dump.go
@@ -1,5 +1,12 @@
 package keelguard
 
+import (
+	"maps"
+	"slices"
+
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
 // Dump is the state of a [Service] for operators.
 type Dump struct {
 	// Fingerprints counts the requests with evidence.
@@ -12,6 +19,13 @@
 	// Refusals counts the refused requests.
 	Refusals uint64     `json:"refusals"`
 	Evidence []Evidence `json:"evidence"`
+	// GivesPermissions says that this instance knows of every permission from
+	// before its start, so that it may give new ones.
+	GivesPermissions bool `json:"gives_permissions"`
+	// Told lists the instances that have told which permissions they use since
+	// this one started, and LostHomes the homes whose place is taken by the next.
+	Told      []keel.InstanceName `json:"told"`
+	LostHomes []keel.InstanceName `json:"lost_homes"`
 }
 
 // Dump returns the state of the service, a [Dump].
@@ -20,6 +34,9 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	d := Dump{Fingerprints: len(s.poison.entries), Refusals: s.refused, Evidence: s.poison.Evidence(now)}
+	d.GivesPermissions = s.poison.remembers(now)
+	d.Told = slices.Sorted(maps.Keys(s.recalled.told))
+	d.LostHomes = slices.Sorted(maps.Keys(s.recalled.lost))
 	for fp, e := range s.poison.entries {
 		switch crashes := len(s.poison.live(now, e)); {
 		case crashes >= refusedAt:
--- a/keelguard/evidence.go
+++ b/keelguard/evidence.go
@@ -46,6 +46,10 @@
 	Permit *ID `cbor:"2,keyasint,omitempty"`
 	// Return gives a permission back that was not used.
 	Return *ID `cbor:"3,keyasint,omitempty"`
+	// AskInUse asks which permissions the receiver uses.
+	AskInUse bool `cbor:"4,keyasint,omitempty"`
+	// About lists fingerprints whose evidence is asked for as well.
+	About []ID `cbor:"5,keyasint,omitempty"`
 }
 
 // Check reports every fault of the message.
@@ -54,6 +58,9 @@
 	if len(m.Evidence) > maxEvidence {
 		fs.Add("evidence", "has %d pieces, the limit is %d", len(m.Evidence), maxEvidence)
 	}
+	if len(m.About) > maxEvidence {
+		fs.Add("about", "has %d fingerprints, the limit is %d", len(m.About), maxEvidence)
+	}
 	for i := range m.Evidence {
 		fs.Under("evidence", m.Evidence[i].Check())
 	}
@@ -64,12 +71,19 @@
 type Reply struct {
 	// Permitted answers a request for a permission.
 	Permitted bool `cbor:"1,keyasint"`
-	// Evidence is what the home knows about the fingerprint.
+	// Evidence is what the home knows about the fingerprint, or what the sender
+	// knows about those in InUse and those that it was asked about.
 	Evidence []Evidence `cbor:"2,keyasint,omitempty"`
+	// InUse lists the fingerprints whose permission the sender uses.
+	InUse []ID `cbor:"3,keyasint,omitempty"`
 }
 
 // Check reports every fault of the reply.
 func (r *Reply) Check() keel.Faults {
 	m := Message{Evidence: r.Evidence}
-	return m.Check()
+	fs := m.Check()
+	if len(r.InUse) > maxEvidence {
+		fs.Add("in_use", "has %d fingerprints, the limit is %d", len(r.InUse), maxEvidence)
+	}
+	return fs
 }
--- a/keelguard/poison.go
+++ b/keelguard/poison.go
@@ -38,7 +38,7 @@
 	Retention time.Duration
 	// PermitTime is how long a permitted request may run. For as long after its
 	// start a home gives no permissions, since it has forgotten those that it
-	// gave before.
+	// gave before, unless it learnt of them by then.
 	PermitTime time.Duration
 }
 
@@ -71,6 +71,8 @@
 	// confirmed or disproved yet.
 	crashes map[keel.EndpointID]Death
 	number  uint64
+	// recalled says that the permissions from before the start are known.
+	recalled bool
 }
 
 // poisonEntry is what is known about one fingerprint.
@@ -168,7 +170,7 @@
 }
 
 // Known reports whether there may be evidence against a request. Without it the
-// time does not matter to Before, Started and Ended.
+// time does not matter to Before and Started.
 func (p *Poison) Known(fp ID) bool {
 	_, ok := p.entries[fp]
 	return ok
@@ -191,19 +193,25 @@
 }
 
 // Ended notes that the endpoint gave its whole answer. This clears the request,
-// since a poison request never gets that far.
-func (p *Poison) Ended(now time.Time, fp ID, endpoint keel.EndpointID) {
+// since a poison request never gets that far. It clears a refused one too: of a
+// request that many callers send, copies are in flight at several endpoints, and
+// those that crash together must not condemn it while others answer it. Ended
+// reports whether evidence was cleared, which other instances must learn.
+func (p *Poison) Ended(fp ID, endpoint keel.EndpointID) bool {
 	p.leave(fp, endpoint)
-	if e, ok := p.entries[fp]; ok && len(p.live(now, e)) < refusedAt {
-		p.clear(e)
-	}
+	e, ok := p.entries[fp]
+	return ok && e.clear()
 }
 
-func (p *Poison) clear(e *poisonEntry) {
+// clear reports whether any evidence counted until now.
+func (e *poisonEntry) clear() bool {
 	e.permit = time.Time{}
+	news := false
 	for _, pc := range e.pieces {
+		news = news || !pc.cleared
 		pc.cleared = true
 	}
+	return news
 }
 
 // Abandoned notes that the request was given up while its connection was well,
@@ -329,7 +337,7 @@
 // be risked. A permission that does not end in evidence, in a cleared request
 // or in [Poison.Return] counts like a crash until the retention has passed.
 func (p *Poison) Permit(now time.Time, fp ID) bool {
-	if now.Sub(p.cfg.Started) < p.cfg.PermitTime {
+	if !p.remembers(now) {
 		return false
 	}
 	e := p.entry(now, fp)
@@ -341,6 +349,38 @@
 	return true
 }
 
+// remembers reports whether no permission from before the start can be in use
+// without being known.
+func (p *Poison) remembers(now time.Time) bool {
+	return p.recalled || now.Sub(p.cfg.Started) >= p.cfg.PermitTime
+}
+
+// Recalled notes that every permission from before the start was told to
+// [Poison.Used].
+func (p *Poison) Recalled() { p.recalled = true }
+
+// Used notes that another instance uses a permission which this one does not
+// remember. It counts until it ends like one that was given here, but at most
+// for the PermitTime.
+func (p *Poison) Used(now time.Time, fp ID) {
+	if e := p.entry(now, fp); e.permit.IsZero() {
+		e.permit = now.Add(p.cfg.PermitTime - p.cfg.Retention)
+	}
+}
+
+// Permitted returns the fingerprints with a permission that was given, or was
+// heard of, that long ago and has not ended.
+func (p *Poison) Permitted(now time.Time, age time.Duration) []ID {
+	var out []ID
+	for fp, e := range p.entries {
+		if !e.permit.IsZero() && now.Sub(e.permit) >= age {
+			out = append(out, fp)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Return takes a permission back whose request met no crash.
 func (p *Poison) Return(fp ID) {
 	if e, ok := p.entries[fp]; ok {
--- a/keelguard/service.go
+++ b/keelguard/service.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"github.com/zeebo/xxh3"
 
 	keel "github.com/greengagekeel/greengagekeel"
 )
@@ -28,6 +27,10 @@
 	// chosen. All instances that share evidence must have the same ones; those
 	// registered in the declarations are fit.
 	Homes func() []keel.InstanceName
+	// Live returns the other instances that are live and can be reached as far
+	// as is known. The first live one of a fingerprint's homes gives its
+	// permissions. Nil means that all homes are live.
+	Live func() map[keel.InstanceName]bool
 	// Lifted returns the fingerprints that operators have lifted by label.
 	Lifted func() []string
 	Clock  clockwork.Clock
@@ -47,6 +50,8 @@
 	// shareTimeout is how long the answer to a caller may be held back until
 	// the other instances know of a crash.
 	shareTimeout = 250 * time.Millisecond
+	// permitTimeout is how long a suspect waits for the answer of its home.
+	permitTimeout = time.Second
 )
 
 // Service shares the evidence against poison requests between instances. It is
@@ -55,10 +60,15 @@
 	cfg    Config
 	mu     sync.Mutex
 	poison *Poison
-	// permits holds the fingerprints with a permission that is in use here.
-	permits map[ID]bool
-	lifted  map[string]bool
-	refused uint64
+	// permits holds the fingerprints with a permission that is in use here, and
+	// the homes that gave them. asking counts the questions for one under way.
+	permits map[ID]keel.InstanceName
+	asking  map[ID]int
+	// given holds the instances that use the permissions of this home.
+	given    map[ID]keel.InstanceName
+	recalled recalled
+	lifted   map[string]bool
+	refused  uint64
 	// news asks for evidence to be passed on at once.
 	news chan struct{}
 }
@@ -73,7 +83,10 @@
 	setDefault(&cfg.Poison.PermitTime, defaultPermitTime)
 	return &Service{
 		cfg: cfg, poison: NewPoison(cfg.Poison),
-		permits: map[ID]bool{}, lifted: map[string]bool{}, news: make(chan struct{}, 1),
+		permits: map[ID]keel.InstanceName{}, asking: map[ID]int{},
+		given:    map[ID]keel.InstanceName{},
+		recalled: recalled{told: map[keel.InstanceName]bool{}, lost: map[keel.InstanceName]bool{}},
+		lifted:   map[string]bool{}, news: make(chan struct{}, 1),
 	}
 }
 
@@ -93,12 +106,15 @@
 	return nil
 }
 
-// loopTick forgets old evidence and follows the labels of operators.
+// loopTick forgets old evidence, follows the labels of operators and learns of
+// permissions that this instance does not remember.
 func (s *Service) loopTick(ctx context.Context) {
 	ticker := s.cfg.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		s.tick()
+		s.Recall(ctx)
+		s.Reclaim(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -188,7 +204,7 @@
 
 func (s *Service) exchange(ctx context.Context, to keel.InstanceName, m Message) (Reply, error) {
 	if to == s.cfg.Self.Name {
-		return s.handle(m), nil
+		return s.handle(to, m), nil
 	}
 	addr, ok := s.cfg.Resolve(to)
 	if !ok {
@@ -198,7 +214,11 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	timeout := shareTimeout
+	if m.Permit != nil {
+		timeout = permitTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	e, err := s.cfg.Transport.Call(ctx, addr, keel.Envelope{Kind: keel.KindGuard, From: s.cfg.Self.Name, Body: body})
 	if err != nil {
@@ -217,11 +237,11 @@
 	if err := keel.DecodeCBOR(e.Body, &m); err != nil {
 		return keel.Envelope{}, errors.Wrapf(err, "guard message of %q", e.From)
 	}
-	body, err := keel.EncodeCBOR(s.handle(m))
+	body, err := keel.EncodeCBOR(s.handle(e.From, m))
 	return keel.Envelope{Kind: keel.KindGuard, From: s.cfg.Self.Name, Body: body}, err
 }
 
-func (s *Service) handle(m Message) Reply {
+func (s *Service) handle(from keel.InstanceName, m Message) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Clock.Now()
@@ -233,9 +253,12 @@
 		s.poison.Return(*m.Return)
 	}
 	if m.Permit != nil {
-		reply.Permitted = s.poison.Permit(now, *m.Permit)
+		reply.Permitted = s.permit(now, from, *m.Permit)
 		reply.Evidence = s.poison.EvidenceOf(now, *m.Permit)
 	}
+	if m.AskInUse {
+		reply.InUse, reply.Evidence = s.inUse(now, m.About)
+	}
 	return reply
 }
 
@@ -273,14 +296,18 @@
 	if !ok {
 		return d
 	}
-	s.mu.Lock()
-	m := Message{Evidence: s.poison.EvidenceOf(s.cfg.Clock.Now(), fp), Permit: &fp}
-	s.mu.Unlock()
-	reply, err := s.exchange(ctx, home, m)
+	reply, err := s.exchange(ctx, home, s.askPermit(fp))
 	if err != nil {
-		return d
+		reply = Reply{}
 	}
-	return s.admitted(fp, reply)
+	return s.admitted(fp, home, reply)
+}
+
+func (s *Service) askPermit(fp ID) Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asking[fp]++
+	return Message{Evidence: s.poison.EvidenceOf(s.cfg.Clock.Now(), fp), Permit: &fp}
 }
 
 // Permit is [Service.Admit] for a request whose decision from [Service.Before]
@@ -292,34 +319,22 @@
 	return nil
 }
 
-func (s *Service) admitted(fp ID, reply Reply) Decision {
+func (s *Service) admitted(fp ID, home keel.InstanceName, reply Reply) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.asking[fp]--; s.asking[fp] <= 0 {
+		delete(s.asking, fp)
+	}
 	now := s.cfg.Clock.Now()
 	s.poison.Merge(now, reply.Evidence)
 	d := s.poison.Before(now, fp)
 	if d.AskHome && reply.Permitted {
 		d.Allow, d.Refuse = true, nil
-		s.permits[fp] = true
+		s.permits[fp] = home
 	}
 	return d
 }
 
-// home returns the instance that gives the permissions for a fingerprint.
-func (s *Service) home(fp ID) (keel.InstanceName, bool) {
-	homes := s.cfg.Homes()
-	if len(homes) == 0 {
-		return "", false
-	}
-	return slices.MaxFunc(homes, func(a, b keel.InstanceName) int {
-		wa, wb := xxh3.HashStringSeed(string(a), uint64(fp)), xxh3.HashStringSeed(string(b), uint64(fp))
-		if wa < wb {
-			return -1
-		}
-		return 1
-	}), true
-}
-
 // Started notes that a request was sent to an endpoint. Exactly one of Ended,
 // Abandoned and Died follows.
 func (s *Service) Started(fp ID, endpoint keel.EndpointID) {
@@ -339,12 +354,11 @@
 func (s *Service) ended(fp ID, endpoint keel.EndpointID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var now time.Time
-	if s.poison.Known(fp) {
-		now = s.cfg.Clock.Now()
+	if s.poison.Ended(fp, endpoint) {
+		s.passOn()
 	}
-	s.poison.Ended(now, fp, endpoint)
-	return s.permits[fp]
+	_, used := s.permits[fp]
+	return used
 }
 
 // Abandoned notes that the request was given up while its connection was well.
@@ -375,22 +389,3 @@
 	defer s.mu.Unlock()
 	f(s.cfg.Clock.Now())
 }
-
-// giveBack returns a permission, together with what was learnt by using it.
-func (s *Service) giveBack(fp ID) {
-	s.mu.Lock()
-	if !s.permits[fp] {
-		s.mu.Unlock()
-		return
-	}
-	delete(s.permits, fp)
-	m := Message{Evidence: s.poison.EvidenceOf(s.cfg.Clock.Now(), fp), Return: &fp}
-	s.mu.Unlock()
-	home, ok := s.home(fp)
-	if !ok {
-		return
-	}
-	if _, err := s.exchange(context.Background(), home, m); err != nil {
-		s.cfg.Log.WithError(err).WithField("fingerprint", fp).Warn("permission was not given back")
-	}
-}
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -182,7 +182,7 @@
 	})
 	in.guard = keelguard.New(keelguard.Config{
 		Self: in.self, Transport: in.peer, Resolve: in.resolve, Peers: in.guardPeers, Homes: in.registered,
-		Lifted: in.lifted, Clock: clock, Log: in.log,
+		Live: in.reachable, Lifted: in.lifted, Clock: clock, Log: in.log,
 	})
 	in.engine = keelsteer.New(keelsteer.Config{
 		Self: in.self, Declared: in.control.replica.Current, View: in.view, Endpoints: in.endpoints,
--- a/keelinstance/world.go
+++ b/keelinstance/world.go
@@ -206,6 +206,22 @@
 	return out
 }
 
+// reachable returns the instances that are live in failure domains which can be
+// reached.
+func (in *Instance) reachable() map[keel.InstanceName]bool {
+	out := make(map[keel.InstanceName]bool)
+	v := in.view()
+	for i := range v.Domains {
+		if !v.Domains[i].Reachable() {
+			continue
+		}
+		for _, m := range v.Domains[i].Members {
+			out[m.Instance.Name] = true
+		}
+	}
+	return out
+}
+
 // lifted returns the fingerprints that operators have lifted.
 func (in *Instance) lifted() []string {
 	var out []string
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -210,12 +210,26 @@
 			return
 		}
 		if time.Now().After(deadline) {
+			c.logDumps()
 			c.fatalf("%s: not within %s, last seen: %s", what, WaitLimit, seen)
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
+// logDumps writes the dump of each running instance
+// into the log of the script, so that a failure can be traced.
+func (c *cluster) logDumps() {
+	for _, in := range c.running() {
+		doc, err := c.client(in).Dump(c.ctx)
+		if err != nil {
+			c.ts.Logf("dump of %s: %v", in.name, err)
+			continue
+		}
+		c.ts.Logf("dump of %s: %s", in.name, doc)
+	}
+}
+
 // options splits arguments of the form key=value.
 func (c *cluster) options(args []string) map[string]string {
 	opts := map[string]string{}
--- a/keelsteer/dump.go
+++ b/keelsteer/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeladmit"
 	"github.com/greengagekeel/greengagekeel/keelendpoint"
 	"github.com/greengagekeel/greengagekeel/keelroute"
 )
@@ -14,11 +15,13 @@
 	Leaving   bool                 `json:"leaving"`
 	View      *View                `json:"view"`
 	Endpoints []keelendpoint.Entry `json:"endpoints"`
-	Pools     []PoolDump           `json:"pools"`
-	Shares    []ShareDump          `json:"shares"`
-	Drains    []DrainState         `json:"drains"`
-	Links     []LinkDump           `json:"links"`
-	Retired   int                  `json:"silent_connections_closed"`
+	// Owners says which instance of the failure domain owns each endpoint.
+	Owners  []keeladmit.Ownership `json:"owners"`
+	Pools   []PoolDump            `json:"pools"`
+	Shares  []ShareDump           `json:"shares"`
+	Drains  []DrainState          `json:"drains"`
+	Links   []LinkDump            `json:"links"`
+	Retired int                   `json:"silent_connections_closed"`
 }
 
 // PoolDump is the state of the owned endpoints of one service.
@@ -56,6 +59,7 @@
 	e.silence.mu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	d.Owners = e.owners.List()
 	for src := range e.demand {
 		d.Shares = append(d.Shares, ShareDump{Source: src, Vector: e.shares.Vector(src), Demand: e.totalDemand(src)})
 	}
--- a/keelsteer/lookupclient.go
+++ b/keelsteer/lookupclient.go
@@ -6,14 +6,22 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"time"
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 )
 
-// LookUp asks the caller port at addr with the given query.
+// lookUpTimeout is how long a look-up waits for its answer at most, since an
+// instance that is paused or cut off accepts connections and never answers.
+const lookUpTimeout = 5 * time.Second
+
+// LookUp asks the caller port at addr with the given query. It waits at most
+// 5 s, whatever the context.
 func LookUp(ctx context.Context, addr netip.AddrPort, q url.Values) (*LookupAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+keelproxy.LookupPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return nil, err
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -190,6 +190,10 @@
 	ID       keel.EndpointID `json:"id"`
 	Address  string          `json:"address"`
 	InFlight int             `json:"in_flight"`
+	// Usable is how many requests may run there at once now.
+	Usable int `json:"usable"`
+	// EjectedUntil is the end of the last ejection, zero if there was none.
+	EjectedUntil time.Time `json:"ejected_until,omitzero"`
 }
 
 func (p *pool) loads() []EndpointLoad {
@@ -197,7 +201,10 @@
 	defer p.mu.Unlock()
 	out := make([]EndpointLoad, 0, len(p.targets))
 	for id, t := range p.targets {
-		out = append(out, EndpointLoad{ID: id, Address: t.Address.String(), InFlight: p.queue.InFlight(id)})
+		out = append(out, EndpointLoad{
+			ID: id, Address: t.Address.String(), InFlight: p.queue.InFlight(id),
+			Usable: p.queue.Usable(time.Now(), id), EjectedUntil: p.eject.Until(id),
+		})
 	}
 	return out
 }
--- a/keelsteer/targets.go
+++ b/keelsteer/targets.go
@@ -60,7 +60,7 @@
 
 func (p *plan) reachable(domain keel.DomainName) bool {
 	d := p.view.domain(domain)
-	return d != nil && len(d.Members) > 0 && d.Age.Std() < silentAfter
+	return d != nil && d.Reachable()
 }
 
 func (e *Engine) setTarget(now time.Time, p *plan, sel *keel.Selector, src keelroute.Source) {
--- a/keelsteer/view.go
+++ b/keelsteer/view.go
@@ -62,6 +62,11 @@
 	return nil
 }
 
+// Reachable reports whether the domain was heard lately and has a live instance.
+func (d *Domain) Reachable() bool {
+	return len(d.Members) > 0 && d.Age.Std() < silentAfter
+}
+
 func roomOf(rooms []Room, service keel.ServiceName) Room {
 	for _, r := range rooms {
 		if r.Service == service {
