keelproxy: a body that was cut short never ends as if it were whole

The HTTP library ends the stream of a body of known length cleanly when its caller is gone; the length was noticed only where the body was written on, and an endpoint that waited for the rest was given up 100 ms later. The body of a caller now counts what is to come, and fails as cut short.

--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -51,7 +51,7 @@
 		p.request.ContentLength = 0
 		return
 	}
-	p.body.r, p.body.conn = fctx.RequestBodyStream(), p.conn
+	p.body.r, p.body.conn, p.body.left = fctx.RequestBodyStream(), p.conn, p.request.ContentLength
 	p.request.Body = &p.body
 }
 
@@ -151,8 +151,10 @@
 // under way after stop has returned, since the connection goes on to the next
 // request.
 type callerBody struct {
-	r       io.Reader
-	conn    *callerConn
+	r    io.Reader
+	conn *callerConn
+	// left is how many bytes are to come, or less than 0 if that is not known.
+	left    int64
 	mu      sync.Mutex // held while reading
 	stopped bool
 	atEnd   atomic.Bool
@@ -168,6 +170,11 @@
 		return 0, errors.New("request body: the request has ended")
 	}
 	n, err := b.r.Read(p)
+	b.left -= int64(n)
+	if b.left > 0 && CleanEnd(err) {
+		// The HTTP library ends a stream that was cut short as if it were whole.
+		return n, io.ErrUnexpectedEOF
+	}
 	if CleanEnd(err) {
 		b.atEnd.Store(true)
 	} else if err != nil && b.conn.stalled.Load() {
--- a/keelproxy/stall_test.go
+++ b/keelproxy/stall_test.go
@@ -215,3 +215,62 @@
 	}
 	return &keelproxy.Answer{Status: http.StatusOK, Body: http.NoBody}, nil
 }
+
+// endlessRunner answers without end, until a deadline.
+type endlessRunner struct{}
+
+func (endlessRunner) RunRequest(ctx context.Context, _ *keelproxy.Request) (*keelproxy.Answer, error) {
+	_, _ = keelproxy.WithDeadline(ctx, time.Now().Add(100*time.Millisecond))
+	return &keelproxy.Answer{Status: http.StatusOK, ContentLength: keelproxy.LengthUnknown, Body: endless{}}, nil
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+func (endless) Close() error { return nil }
+
+// TestUnreadAnswer has a caller that does not read its answer. The request ends
+// after its deadline, and is reported as broken.
+func TestUnreadAnswer(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan keelproxy.Result, 1)
+	front := keelproxy.NewFront(keelproxy.FrontConfig{
+		Runner: endlessRunner{}, MaxHeaderBytes: 4096, Report: func(r keelproxy.Result) { ended <- r },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	go func() { _ = front.Serve(ln) }()
+	go func() { _ = front.Run(t.Context()) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	send(c, "GET /x HTTP/1.1\r\nHost: s\r\n\r\n")
+	is.True((<-ended).Broken)
+	is.Equal(front.InFlight(), int64(0))
+}
+
+// TestCutRequest has callers that end their connections within a body.
+func TestCutRequest(t *testing.T) {
+	part := strings.Repeat("x", 20_000)
+	for _, begin := range []string{"Content-Length: 100000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nffff\r\n"} {
+		addr, got := silentEndpoint(t)
+		for name, runner := range runners(t, addr) {
+			t.Run(begin[:7]+"/"+name, func(t *testing.T) {
+				is := is.New(t)
+				front, caller, _ := watchedFront(t, deadlineRunner{runner})
+				c, err := net.Dial("tcp", caller.String())
+				is.NoErr(err)
+				defer func() { _ = c.Close() }()
+				send(c, "POST /x HTTP/1.1\r\nHost: s\r\n"+begin+part)
+				<-got
+				is.NoErr(c.(*net.TCPConn).CloseWrite())
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err)
+				is.Equal(resp.Header.Get(keelproxy.HeaderVerdict), keel.MayHaveRun.String())
+				is.Equal(front.InFlight(), int64(0))
+			})
+		}
+	}
+}
