--- a/keelcommand/declare.go
+++ b/keelcommand/declare.go
@@ -167,7 +167,7 @@
 	}
 	have, err := c.Declared(ctx)
 	if err != nil {
-		return nil, nil, 0, callError(err)
+		return nil, nil, 0, readError(err)
 	}
 	if have.Partial {
 		return nil, nil, 0, fail(ExitFailed, errors.New("the instance does not hold all client blocks yet"), "ask another instance, or wait until its dump shows no refill")
@@ -235,13 +235,13 @@
 	if n := cmd.Int("history"); n > 0 {
 		h, err := c.History(ctx, n)
 		if err != nil {
-			return callError(err)
+			return readError(err)
 		}
 		return writeJSON(cmd.Root().Writer, h)
 	}
 	d, err := c.Declared(ctx)
 	if err != nil {
-		return callError(err)
+		return readError(err)
 	}
 	if dir := cmd.String("folder"); dir != "" {
 		if err := keeldeclare.WriteDir(dir, d.Declarations); err != nil {
--- a/keelcommand/output.go
+++ b/keelcommand/output.go
@@ -78,6 +78,12 @@
 	return fail(ExitUnknown, err, "check that --operator names a running instance, then run the same command again")
 }
 
+// readError turns a failed call that changes nothing into an exit code and
+// advice.
+func readError(err error) error {
+	return fail(ExitFailed, err, "check that --operator names a running instance; nothing was changed")
+}
+
 // parseLabels reads labels that are written as key=value.
 func parseLabels(list []string) (keel.Labels, error) {
 	labels := make(keel.Labels, len(list))
--- a/keelscenario/cluster.go
+++ b/keelscenario/cluster.go
@@ -77,6 +77,7 @@
 		c.ts.Setenv("leader", leader)
 		c.ts.Setenv("leader_operator", c.instance(leader).listen.Operator.String())
 		c.ts.Setenv("follower", follower)
+		c.ts.Setenv("follower_operator", c.instance(follower).listen.Operator.String())
 		return true, ""
 	})
 }
