keelclaim: wait for an answer that is on its way

Cause: holders hear of an outcome at the same time, and two of three keep the answer. A resend that met the third one's outcome first was refused as ran, though the answer arrived at the others a moment later. Seen once as a failing row of the faults over real sockets on a busy machine. Change: while other holders still wait for the outcome, the claimant asks again for up to 2 s, also while a holder did not reply in time. TestAnswerOnItsWay failed before (refused) and passes after.

--- a/keelclaim/ballot.go
+++ b/keelclaim/ballot.go
@@ -130,6 +130,14 @@
 // open reports whether a holder has not replied.
 func (b *ballot) open() bool { return slices.ContainsFunc(members(b.sets), b.pending) }
 
+// missed reports whether a holder could not be reached in time.
+func (b *ballot) missed() bool {
+	return slices.ContainsFunc(members(b.sets), func(name keel.InstanceName) bool {
+		r, known := b.replies[name]
+		return known && r.vote == voteMissing
+	})
+}
+
 // otherMayRun reports whether another attempt for the key may have dispatched.
 func (b *ballot) otherMayRun() bool {
 	return b.held || b.unknown || b.ran || len(b.answeredBy) > 0
--- a/keelclaim/claimant.go
+++ b/keelclaim/claimant.go
@@ -37,6 +37,9 @@
 	timer   time.Time
 	attempt Attempt
 	sources []keel.InstanceName
+	// ranAt is when a holder first told that the request ran, without having
+	// its answer.
+	ranAt time.Time
 }
 
 // ClaimActionType says what a [Claimant] wants done.
@@ -83,6 +86,8 @@
 	// lateWait is how long a claim waits for the outcome of an attempt that is
 	// past its deadline.
 	lateWait = 500 * time.Millisecond
+	// answerWait is how long a claim looks for the answer of a request that ran.
+	answerWait = 2 * time.Second
 	// maxDoublings bounds the growth of rounds and pauses.
 	maxDoublings = 6
 )
@@ -249,6 +254,11 @@
 		if b.open() {
 			return nil
 		}
+		if pause := c.pause(); c.answerOnItsWay(now, pause) {
+			c.fire(eventLost)
+			c.timer = now.Add(pause)
+			return c.release()
+		}
 		return c.refuse(outcomeRefusal(b.ran))
 	case b.won():
 		c.fire(eventGranted)
@@ -259,6 +269,19 @@
 	return c.lost(now)
 }
 
+// answerOnItsWay reports whether holders that have not heard of the outcome yet,
+// or did not reply in time, may have the recorded answer, which is kept by some
+// of the holders only.
+func (c *Claimant) answerOnItsWay(now time.Time, pause time.Duration) bool {
+	if !c.ballot.ran || !c.ballot.held && !c.ballot.missed() {
+		return false
+	}
+	if c.ranAt.IsZero() {
+		c.ranAt = now
+	}
+	return now.Add(pause).Before(earlier(c.cfg.Deadline, c.ranAt.Add(answerWait)))
+}
+
 func outcomeRefusal(ran bool) *keel.Refusal {
 	if ran {
 		return keel.Refuse(keel.Ran, keel.ReasonDuplicate, 0, "a request with this key ran already; its answer is not kept")
--- /dev/null
+++ b/keelclaim/claimant_test.go
@@ -0,0 +1,73 @@
+package keelclaim_test
+
+import (
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelclaim"
+	"github.com/matryer/is"
+)
+
+// TestAnswerOnItsWay asks for a key whose outcome has reached only a holder that
+// does not keep the answer. The claimant asks again until a keeper has it, and
+// gives up if none gets it.
+func TestAnswerOnItsWay(t *testing.T) {
+	held := keelclaim.Vote{Type: keelclaim.VoteHeld, State: keelclaim.StateVoted, Wait: keel.Duration(time.Second)}
+	ran := keelclaim.Vote{Type: keelclaim.VoteHeld, State: keelclaim.StateRan}
+	answered := keelclaim.Vote{Type: keelclaim.VoteHeld, State: keelclaim.StateAnswered}
+	lost := keelclaim.Vote{} // stands for a holder that can't be reached
+	for _, tt := range []struct {
+		name string
+		// rounds holds the votes of each round; the last one is repeated.
+		rounds [][]keelclaim.Vote
+		want   keelclaim.ClaimActionType
+	}{
+		{"a keeper gets it", [][]keelclaim.Vote{{held, held, ran}, {answered, held, ran}}, keelclaim.ClaimAnswer},
+		{"no keeper gets it", [][]keelclaim.Vote{{held, held, ran}}, keelclaim.ClaimRefuse},
+		{"a keeper replies late", [][]keelclaim.Vote{{lost, ran, ran}, {answered, held, ran}}, keelclaim.ClaimAnswer},
+		{"the keeper is lost", [][]keelclaim.Vote{{lost, ran, ran}}, keelclaim.ClaimRefuse},
+		{"no keeper keeps it", [][]keelclaim.Vote{{ran, ran, ran}}, keelclaim.ClaimRefuse},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now, attempts := holderStart, uint64(0)
+			c := keelclaim.NewClaimant(keelclaim.ClaimantConfig{
+				Key: keyOf(1), Sets: []keelclaim.Set{holderSet}, Memory: time.Hour, Deadline: now.Add(time.Minute),
+				NextAttempt: func() keelclaim.Attempt { attempts++; return attemptOf(attempts) },
+				Random:      func() uint64 { return 0 },
+			})
+			answer := &keelclaim.Answer{Status: 200}
+			queue := c.Start(now)
+			for round := 0; ; {
+				if len(queue) == 0 {
+					now = c.Timer()
+					queue = c.Tick(now)
+					continue
+				}
+				a := queue[0]
+				queue = queue[1:]
+				switch {
+				case a.Type == keelclaim.ClaimAnswer || a.Type == keelclaim.ClaimRefuse:
+					is.Equal(a.Type, tt.want)
+					if a.Refusal != nil {
+						is.Equal(a.Refusal.Verdict, keel.Ran)
+					}
+					return
+				case a.Message.Ask != nil:
+					votes := tt.rounds[min(round, len(tt.rounds)-1)]
+					round++
+					for i, name := range a.To {
+						if votes[i].Type == lost.Type {
+							queue = append(queue, c.Failed(now, a.Attempt, name)...)
+							continue
+						}
+						queue = append(queue, c.Replied(now, a.Attempt, name, keelclaim.Reply{Incarnation: 1, Vote: &votes[i]})...)
+					}
+				case a.Message.Fetch != nil:
+					queue = append(queue, c.Replied(now, a.Attempt, a.To[0], keelclaim.Reply{Incarnation: 1, Answer: answer})...)
+				}
+			}
+		})
+	}
+}
