keelinstance: faults over real sockets, fresh connections for tries again

Cause: the faults of at most once were tested on cores and by scripts, and the silent connections of stand-in endpoints still acknowledged packets, so that they were told from a dead path. A try after a failed one opens a new connection.

--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -96,7 +96,7 @@
 // no byte was sent.
 func (c *EndpointClient) Dispatch(ctx context.Context, t Target, r *Request) (*Answer, error) {
 	now := time.Now()
-	conn, err := c.take(ctx, now, t)
+	conn, err := c.take(ctx, now, t, r.Fresh)
 	if err != nil {
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, err)
 	}
@@ -179,17 +179,18 @@
 	}
 }
 
-func (c *EndpointClient) take(ctx context.Context, now time.Time, t Target) (*endpointConn, error) {
-	for {
+func (c *EndpointClient) take(ctx context.Context, now time.Time, t Target, fresh bool) (*endpointConn, error) {
+	for !fresh {
 		conn := c.popIdle(t.Address)
 		if conn == nil {
-			return c.dial(ctx, t)
+			break
 		}
 		if conn.usable(now, c.cfg.IdleTimeout) {
 			return conn, nil
 		}
 		conn.close()
 	}
+	return c.dial(ctx, t)
 }
 
 func (c *EndpointClient) popIdle(addr netip.AddrPort) *endpointConn {
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -77,6 +77,10 @@
 	Hops int `cbor:"14,keyasint,omitempty"`
 	// Via is the failure domain of the instance that sent the request here.
 	Via keel.DomainName `cbor:"16,keyasint,omitempty"`
+	// Fresh asks for a new connection to the endpoint, since an earlier try
+	// failed, maybe on a connection that had gone silent, as others of its age
+	// then have.
+	Fresh bool `cbor:"17,keyasint,omitempty"`
 
 	// Begun is when a caller's request was taken.
 	Begun    time.Time `cbor:"-"`
--- a/keelstandin/conn.go
+++ b/keelstandin/conn.go
@@ -4,9 +4,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
 )
 
 // listener keeps track of the connections that it accepted.
@@ -36,6 +39,7 @@
 		return nil, net.ErrClosed
 	}
 	l.conns[c] = true
+	c.silenceByAge(l.endpoint.behaviour.Load().SilentAge.Std())
 	l.endpoint.counter.change(func(n *Counts) { n.Connections++ })
 	return c, nil
 }
@@ -59,12 +63,34 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.silent.Store(true)
+		c.silence()
+	}
+}
+
+// silenceByAge makes every open connection go silent at an age.
+func (l *listener) silenceByAge(age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.silenceByAge(age)
+	}
+}
+
+// closeSilent closes the silent connections, which don't hear that the other
+// side closed them.
+func (l *listener) closeSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.silent.Load() {
+			_ = c.Conn.Close()
+		}
 	}
 }
 
 // trackedConn is a connection that can go silent. It then reads nothing more
-// and sends nothing more, but stays open.
+// and sends nothing more, but stays open. The operating system doesn't even
+// acknowledge what arrives, as if a box on the path had lost the connection.
 type trackedConn struct {
 	net.Conn
 	listener *listener
@@ -99,10 +125,48 @@
 	return c.Conn.Close()
 }
 
-func (c *trackedConn) isSilent() bool {
-	age := c.listener.endpoint.behaviour.Load().SilentAge.Std()
-	if age > 0 && c.clock.Since(c.opened) > age {
-		c.silent.Store(true)
+func (c *trackedConn) isSilent() bool { return c.silent.Load() }
+
+// silence makes the connection go silent for good.
+func (c *trackedConn) silence() {
+	if c.silent.Swap(true) {
+		return
+	}
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		_ = dropArrivals(socket) // a socket that is closed already drops everything
+	}
+}
+
+// silenceByAge makes the connection go silent at an age, if that is still the
+// endpoint's behaviour then. Zero means never.
+func (c *trackedConn) silenceByAge(age time.Duration) {
+	if age <= 0 {
+		return
+	}
+	c.clock.AfterFunc(age-c.clock.Since(c.opened), func() {
+		if c.listener.endpoint.behaviour.Load().SilentAge.Std() == age {
+			c.silence()
+		}
+	})
+}
+
+// dropArrivals makes the operating system drop each packet for the socket
+// before it is acknowledged.
+func dropArrivals(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "socket of connection")
+	}
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
+	})
+	if err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	if sockErr != nil {
+		return errors.Wrap(sockErr, "attach filter to socket")
 	}
-	return c.silent.Load()
+	return nil
 }
--- a/keelstandin/count.go
+++ b/keelstandin/count.go
@@ -11,7 +11,10 @@
 	// runs when its body has arrived whole.
 	ByKey   map[string]int `json:"by_key"`
 	ByToken map[string]int `json:"by_token"`
-	Runs    int            `json:"runs"`
+	// SeenByToken holds how often the header of a request with each token
+	// arrived, whether the request ran or not.
+	SeenByToken map[string]int `json:"seen_by_token"`
+	Runs        int            `json:"runs"`
 	// Broken is the number of requests whose body did not arrive whole.
 	Broken int `json:"broken"`
 	// Shed is the number of requests that were answered with 503.
@@ -32,7 +35,7 @@
 }
 
 func newCounter() *counter {
-	return &counter{counts: Counts{ByKey: map[string]int{}, ByToken: map[string]int{}}}
+	return &counter{counts: Counts{ByKey: map[string]int{}, ByToken: map[string]int{}, SeenByToken: map[string]int{}}}
 }
 
 func (c *counter) change(edit func(*Counts)) {
@@ -41,8 +44,11 @@
 	edit(&c.counts)
 }
 
-func (c *counter) enter() {
+func (c *counter) enter(token string) {
 	c.change(func(n *Counts) {
+		if token != "" {
+			n.SeenByToken[token]++
+		}
 		n.InFlight++
 		n.PeakInFlight = max(n.PeakInFlight, n.InFlight)
 	})
@@ -66,6 +72,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.counts
-	n.ByKey, n.ByToken = maps.Clone(n.ByKey), maps.Clone(n.ByToken)
+	n.ByKey, n.ByToken, n.SeenByToken = maps.Clone(n.ByKey), maps.Clone(n.ByToken), maps.Clone(n.SeenByToken)
 	return n
 }
--- a/keelstandin/endpoint.go
+++ b/keelstandin/endpoint.go
@@ -149,6 +149,7 @@
 // SetBehaviour changes the behaviour from now on.
 func (e *Endpoint) SetBehaviour(b Behaviour) {
 	e.behaviour.Store(&b)
+	e.current().silenceByAge(b.SilentAge.Std())
 	if b.SilenceOpen {
 		e.current().silence()
 	}
@@ -225,6 +226,7 @@
 func (e *Endpoint) shutDown(server *fasthttp.Server, l *listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	l.closeSilent()
 	_ = server.ShutdownWithContext(ctx)
 	l.crash()
 }
--- a/keelstandin/serve.go
+++ b/keelstandin/serve.go
@@ -116,7 +116,7 @@
 		ctx.Response.Header.SetBytesV(HeaderToken, ctx.Request.Header.Peek(HeaderToken))
 		return
 	}
-	e.counter.enter()
+	e.counter.enter(string(ctx.Request.Header.Peek(HeaderToken)))
 	leave := sync.OnceFunc(e.counter.leave)
 	a, err := e.run(ctx)
 	if err != nil {
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -194,6 +194,7 @@
 			return nil, failed
 		}
 		item.Avoid = t.ID.Name
+		r.Fresh = true
 	}
 }
 
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -77,6 +77,7 @@
 		if try == maxTries || !e.mayRetry(ctx, r, err, body.touched()) {
 			return nil, failed
 		}
+		r.Fresh = true
 	}
 }
 
