keelsteer, keelroute: a lost failure domain is no target of shares

Cause: a domain that could not be reached kept the slots of its last report, so it stayed the cheapest target of the sources in its region. Its buckets had no other target to move to and were refused as long as it was lost. Ruled out: the cap (50% in 2 s) and the link budget.

Change: the targets know which domains are lost, and take none of them. Where a rule against growth leaves no target at all, the rule yields.

Also: a failing script prints the end of each instance's log, and the text of an unknown field in a folder of declarations is tested with the field's path, which the decoder names since (the test still wanted "$").

--- a/keeldeclare/dir_test.go
+++ b/keeldeclare/dir_test.go
@@ -56,7 +56,7 @@
 		files map[string]string
 		want  string
 	}{
-		{"unknown field", map[string]string{"a.json": `{"regoins": []}`}, `a.json: $: json: unknown field "regoins"`},
+		{"unknown field", map[string]string{"a.json": `{"regoins": []}`}, `a.json: regoins: json: unknown field "regoins"`},
 		{"wrong type", map[string]string{"a.json": `{"regions": [{"name": 5}]}`}, "a.json: regions.name: has a JSON number"},
 		{"two values", map[string]string{"a.json": `{} {}`}, "a.json: $: has data after"},
 		{"torn", map[string]string{"a.json": `{"regions": [`}, "a.json: $: unexpected EOF"},
--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -178,6 +178,9 @@
 	held.Previous = only("a")
 	stale := held
 	stale.Stale = true
+	lost := func(d *keelroute.DomainLoad) { d.Lost = true }
+	alone := in(4, with(near("a"), lost), far("b"))
+	alone.Previous, alone.Stale = only("a"), true
 	declared := in(1, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.Drain = true }), far("c"))
 	declared.Weights = weights(keel.DomainWeight{Domain: "b", Weight: 5}, keel.DomainWeight{Domain: "c", Weight: 3})
 	tests := []struct {
@@ -191,6 +194,8 @@
 		{"full spills", in(14, near("a"), far("b")), "b", 0.2, 0.5},
 		{"full link costs", in(10, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.LinkUse = 0.98 })), "a", 0.95, 1},
 		{"drained takes nothing", in(4, with(near("a"), func(d *keelroute.DomainLoad) { d.Drain = true }), far("b")), "b", 1, 1},
+		{"lost takes nothing, whatever it reported", in(4, with(near("a"), lost), far("b")), "b", 1, 1},
+		{"stale grows remote if nothing else is left", alone, "b", 1, 1},
 		{"stale does not grow remote", stale, "b", 0, 0},
 		{"fresh does", held, "b", 0.2, 0.5},
 		{"unsettled does not grow", in(14, near("a"), with(far("b"), func(d *keelroute.DomainLoad) { d.Unsettled = true })), "b", 0.2, 0.5},
--- a/keelroute/target.go
+++ b/keelroute/target.go
@@ -26,6 +26,9 @@
 	LinkUse float64
 	// Drain says that the domain is labelled to take no new work.
 	Drain bool
+	// Lost says that the domain can't be reached. What it reported last no longer
+	// counts.
+	Lost bool
 	// Unsettled says that latency there has not come to rest since the last
 	// growth of its share.
 	Unsettled bool
@@ -145,7 +148,7 @@
 // given load, in slots, from this source. It is infinite for a domain that
 // takes nothing.
 func cost(d *DomainLoad, load float64, service time.Duration) float64 {
-	if d.Drain || d.Slots < 1 {
+	if d.Drain || d.Lost || d.Slots < 1 {
 		return math.Inf(1)
 	}
 	c := d.RoundTrip.Seconds() + linkCost(d.LinkUse)
@@ -182,11 +185,13 @@
 
 // holdGrowth keeps the shares of domains from growing that must not: remote
 // ones while declarations are stale or reports silent, and any whose latency
-// has not settled. What they would have taken goes to the others.
+// has not settled. What they would have taken goes to the others. If no other
+// takes any they grow after all, since a late answer is better than none.
 func holdGrowth(in TargetInput, plan []keel.DomainWeight) []keel.DomainWeight {
 	if len(in.Previous) == 0 {
 		return normalise(plan)
 	}
+	unheld := normalise(plan)
 	held := make([]bool, len(plan))
 	excess, open := 0.0, 0.0
 	for i := range plan {
@@ -204,7 +209,10 @@
 			plan[i].Weight += excess * plan[i].Weight / open
 		}
 	}
-	return normalise(plan)
+	if kept := normalise(plan); kept != nil {
+		return kept
+	}
+	return unheld
 }
 
 func mustHold(in TargetInput, d *DomainLoad) bool {
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -217,8 +217,8 @@
 	}
 }
 
-// logDumps writes the dump of each running instance
-// into the log of the script, so that a failure can be traced.
+// logDumps writes the dump of each running instance and the end of its log into
+// the log of the script, so that a failure can be traced.
 func (c *cluster) logDumps() {
 	for _, in := range c.running() {
 		doc, err := c.client(in).Dump(c.ctx)
@@ -226,7 +226,7 @@
 			c.ts.Logf("dump of %s: %v", in.name, err)
 			continue
 		}
-		c.ts.Logf("dump of %s: %s", in.name, doc)
+		c.ts.Logf("dump of %s: %s\nend of its log: %s", in.name, doc, in.proc.tail())
 	}
 }
 
--- a/keelsteer/targets.go
+++ b/keelsteer/targets.go
@@ -97,6 +97,7 @@
 		Region:    d.Region,
 		RoundTrip: p.roundTrip(src.Region, d.Region),
 		Drain:     p.drained(keel.TargetDomain, string(d.Name), nil),
+		Lost:      e.lost[d.Name],
 		ReportAge: silentAfter,
 		LinkUse:   e.links.use(now, d.Region),
 		Unsettled: e.settlingOf(sel.Service).Unsettled(now, d.Name),
