keelclaim: holders pass on the former homes of a key

Cause: former homes were remembered by each process only. An instance that restarted after a change of the declared domains asked only the new home, and ran a key of before once more. TestFormerHomesAfterRestart shows it: 30 keys that ran at the former home, the first was granted again. Change: holders add the sets of former homes to their votes for opaque keys, as they do with former sets of their own domain. After: all 30 are refused as ran.

--- a/keelclaim/home.go
+++ b/keelclaim/home.go
@@ -54,3 +54,23 @@
 	}
 	return sets
 }
+
+// formerSets returns the holders of the homes that a key had within the
+// retention. Holders pass them on with their votes, since a claimant that
+// restarted knows only the present home. The caller holds s.mu.
+func (s *Service) formerSets(now time.Time, key KeyID) []FormerSet {
+	present, _ := HomeOf(key, s.homeDomains)
+	var out []FormerSet
+	for _, f := range s.formerHomes {
+		home, ok := HomeOf(key, f.domains)
+		if !ok || home == present {
+			continue
+		}
+		for _, set := range s.cfg.Holders(home) {
+			if len(set.Holders) > 0 {
+				out = append(out, FormerSet{Holders: set.Holders, Age: keel.Duration(max(0, now.Sub(f.until)))})
+			}
+		}
+	}
+	return out
+}
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -198,7 +198,13 @@
 func (s *Service) handle(from keel.InstanceName, m Message) Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holder.Handle(s.cfg.Clock.Now(), from, m)
+	now := s.cfg.Clock.Now()
+	reply := s.holder.Handle(now, from, m)
+	if m.Ask != nil && m.Ask.Ticket == nil {
+		former := append(reply.Vote.Former, s.formerSets(now, m.Ask.Key)...)
+		reply.Vote.Former = former[:min(len(former), maxFormerSets)]
+	}
+	return reply
 }
 
 // exchange sends a message to a holder and returns its reply.
--- a/keelclaim/service_test.go
+++ b/keelclaim/service_test.go
@@ -216,6 +216,46 @@
 	}
 }
 
+// TestFormerHomesAfterRestart lets an instance that restarted take resends of keys
+// whose home changed before its start. It does not know the former home itself.
+func TestFormerHomesAfterRestart(t *testing.T) {
+	is := is.New(t)
+	n, all := home(t)
+	const keys = 30
+	for i := range keys {
+		g, err := all[0].Claim(t.Context(), request(fmt.Sprintf("key-%d", i), time.Minute))
+		is.NoErr(err)
+		g.SettleRan(t.Context())
+	}
+	other := n.start(t, "k4", "thies-a", 1)
+	waitHome(t, other, "dakar-a") // k4 knows the homes of before
+	n.mu.Lock()
+	n.domains = []keel.DomainName{"dakar-a", "thies-a"}
+	n.sets["thies-a"] = []keelclaim.Set{{Holders: []keel.InstanceName{"k4"}, SeenNew: true}}
+	n.mu.Unlock()
+	waitPhase(t, other, keelclaim.PhaseWhole)
+	n.kill("k3")
+	n.setDown(false, "k3")
+	restarted := n.start(t, "k3", "dakar-a", 2)
+	waitPhase(t, restarted, keelclaim.PhaseWhole)
+	for i := range keys {
+		_, err := restarted.Claim(t.Context(), request(fmt.Sprintf("key-%d", i), time.Minute))
+		is.Equal(refusalOf(t, err).Verdict, keel.Ran)
+	}
+}
+
+// waitHome waits until the service knows that home is the only possible one.
+func waitHome(t testing.TB, s *keelclaim.Service, home keel.DomainName) {
+	t.Helper()
+	if got, ok := s.HomeOf(request("any", time.Minute)); !ok || got != home {
+		t.Fatalf("home is %q, want %q", got, home)
+	}
+	_, err := s.Claim(t.Context(), request("warm", time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestLeaveHandsOver(t *testing.T) {
 	is := is.New(t)
 	n, all := home(t)
