keelinstance: a domain without instances is no home for claims

Cause: the holders of a failure domain all of whose instances were struck off were never retired, so that keys with their home there were refused for good. Change: the last set becomes a former one and counts until the retention has passed. TestHolderSets failed in two of four cases before.

--- a/keelinstance/holders.go
+++ b/keelinstance/holders.go
@@ -41,32 +41,33 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for domain, names := range next {
-		old, known := h.current[domain]
-		if known && slices.Equal(old.Holders, names) {
+	for domain, old := range h.current {
+		if slices.Equal(old.Holders, next[domain]) {
 			continue
 		}
-		if known && len(old.Holders) > 0 {
-			old.Until = now
-			h.former[domain] = append(h.former[domain], old)
+		old.Until = now
+		h.former[domain] = append(h.former[domain], old)
+		delete(h.current, domain)
+	}
+	for domain, names := range next {
+		if _, same := h.current[domain]; !same {
+			h.current[domain] = keelclaim.Set{Holders: names, SeenNew: seen}
 		}
-		h.current[domain] = keelclaim.Set{Holders: names, SeenNew: seen}
 	}
 }
 
-// sets returns the present set of a domain and the former ones within the
-// retention.
+// sets returns the present set of a domain, if it has registered instances, and
+// the former ones within the retention.
 func (h *holderSets) sets(domain keel.DomainName) []keelclaim.Set {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	current, ok := h.current[domain]
-	if !ok {
-		return nil
-	}
 	now := time.Now()
 	former := slices.DeleteFunc(h.former[domain], func(s keelclaim.Set) bool {
 		return now.Sub(s.Until) > claimRetention
 	})
 	h.former[domain] = former
-	return append([]keelclaim.Set{current}, former...)
+	if current, ok := h.current[domain]; ok {
+		return append([]keelclaim.Set{current}, former...)
+	}
+	return slices.Clone(former)
 }
