--- a/keelsteer/engine_test.go
+++ b/keelsteer/engine_test.go
@@ -29,7 +29,7 @@
 // world is a small system of which the engines under test are a part. Instances
 // a, b and c are in domain near, f is in domain far.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	hub      *keelpeer.MemoryHub
 	log      *logrus.Entry
 	services int
@@ -45,7 +45,7 @@
 	verdicts []keel.Verdict
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &world{
