--- a/keelcommand/demo.go
+++ b/keelcommand/demo.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/greengagekeel/greengagekeel/examples"
@@ -34,7 +32,7 @@
 }
 
 func demo(ctx context.Context, cmd *cli.Command) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal(ctx)
 	defer stop()
 	declared, err := keeldeclare.LoadFS(keelexamples.Files, "demo/declarations")
 	if err != nil {
--- a/keelcommand/serve.go
+++ b/keelcommand/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/greengagekeel/greengagekeel/keelconfig"
@@ -82,7 +81,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, stopSignals...)
 	defer signal.Stop(signals)
 	s := &stopper{in: in, log: log, signals: signals, cancel: cancel}
 	var group conc.WaitGroup
--- a/keelcommand/standin.go
+++ b/keelcommand/standin.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -41,7 +38,7 @@
 }
 
 func standIn(ctx context.Context, cmd *cli.Command) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal(ctx)
 	defer stop()
 	cfg, err := standInConfig(cmd)
 	if err != nil {
--- a/keelload/load.go
+++ b/keelload/load.go
@@ -127,6 +127,11 @@
 			bad = append(bad, "send "+token+" was refused as not run, but ran "+strconv.Itoa(n)+" times")
 		}
 	}
+	for _, token := range l.record.single {
+		if n := byToken[token]; n > 1 {
+			bad = append(bad, "send "+token+" ran "+strconv.Itoa(n)+" times")
+		}
+	}
 	for _, key := range l.record.unkeys {
 		if n := byKey[key]; n > 0 {
 			bad = append(bad, "key "+key+" was always refused as not run, but ran "+strconv.Itoa(n)+" times")
@@ -148,7 +153,7 @@
 	var o outcome
 	if err := l.takeTicket(ctx, r); err != nil {
 		o = outcome{kind: notRun, detail: err.Error()}
-		l.record.sent("", o)
+		l.record.sent("", false, o)
 		l.record.ended("", o, true, 0, start)
 		return
 	}
@@ -159,7 +164,7 @@
 		if r.spec.Keyed {
 			token = ""
 		}
-		l.record.sent(token, o)
+		l.record.sent(token, !r.resendable(), o)
 		if !mayResend(r, o) || !pause(ctx, o.retryAfter) {
 			break
 		}
--- a/keelload/tally.go
+++ b/keelload/tally.go
@@ -60,22 +60,30 @@
 	detail     string
 }
 
-// record keeps the tally, and the tokens of sends that were refused as not run.
+// record keeps the tally, and what is compared with the endpoints' counts.
 type record struct {
-	mu     sync.Mutex
-	tally  Tally
+	mu    sync.Mutex
+	tally Tally
+	// unrun holds the tokens of sends that were refused as not run, single those
+	// of sends that nobody but their caller may repeat.
 	unrun  []string
+	single []string
 	keys   []string
 	unkeys []string
 }
 
-func (r *record) sent(token string, o outcome) {
+// sent notes the end of one send. Its token is empty if all sends of the request
+// have the same one. single says that the send must not run twice.
+func (r *record) sent(token string, single bool, o outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tally.Sends++
 	if o.kind != answered && len(r.tally.Details) < maxDetails {
 		r.tally.Details = append(r.tally.Details, o.detail)
 	}
+	if single && token != "" {
+		r.single = append(r.single, token)
+	}
 	if o.kind == notRun && token != "" {
 		r.unrun = append(r.unrun, token)
 	}
