--- a/keelload/tally.go
+++ b/keelload/tally.go
@@ -30,14 +30,15 @@
 	Slowest keel.Duration `json:"slowest"`
 	// LongestGap is the longest time without an answer.
 	LongestGap keel.Duration `json:"longest_gap"`
-	// Details holds the first few texts of sends that were not answered.
+	// Details holds the first few texts of sends that ended in each way but an
+	// answer, so that many of one kind don't hide a rare one.
 	Details []string `json:"details,omitempty"`
 
 	lastAnswer time.Time
 }
 
-// maxDetails bounds the details of a tally.
-const maxDetails = 10
+// maxDetails bounds the details of a tally for each kind of outcome.
+const maxDetails = 4
 
 // outcomeKind says how one send ended.
 type outcomeKind int
@@ -50,6 +51,7 @@
 	failed
 	lost
 	wrong
+	outcomeKinds
 )
 
 // outcome is the end of one send.
@@ -68,8 +70,10 @@
 	// of sends that nobody but their caller may repeat.
 	unrun  []string
 	single []string
-	keys   []string
-	unkeys []string
+	// detailed counts the details of each kind of outcome.
+	detailed [outcomeKinds]int
+	keys     []string
+	unkeys   []string
 }
 
 // sent notes the end of one send. Its token is empty if all sends of the request
@@ -78,7 +82,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tally.Sends++
-	if o.kind != answered && len(r.tally.Details) < maxDetails {
+	if o.kind != answered && r.detailed[o.kind] < maxDetails {
+		r.detailed[o.kind]++
 		r.tally.Details = append(r.tally.Details, o.detail)
 	}
 	if single && token != "" {
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -72,6 +72,7 @@
 		"example":   {cmdExample, "NAME", 1},
 		"leader":    {cmdLeader, "", 0},
 		"shiftcap":  {cmdShiftCap, "INSTANCE SELECTOR DOMAIN PERCENT WINDOW WEIGHT", 6},
+		"linklimit": {cmdLinkLimit, "INSTANCE REGION MEGABITS BYTES", 4},
 		"instance":  {cmdInstance, "NAME DOMAIN REGION [voter]", 3},
 		"start":     {cmdStart, "INSTANCE...", 1},
 		"shutdown":  {cmdStop, "INSTANCE...", 1},
--- a/keelscenario/shift.go
+++ b/keelscenario/shift.go
@@ -9,10 +9,10 @@
 // capTolerance allows for rounding of shares.
 const capTolerance = 1e-6
 
-// sample is a share as it stood in a dump at a time of the instance's clock.
+// sample is a number as it stood in a dump at a time of the instance's clock.
 type sample struct {
 	at    time.Time
-	share float64
+	value float64
 }
 
 // cmdShiftCap watches the share of a failure domain in a selector's vector until
@@ -33,12 +33,12 @@
 		}
 		s := c.sample(doc, path)
 		for _, earlier := range samples {
-			if s.at.Sub(earlier.at) < window && s.share-earlier.share > limit {
-				c.fatalf("share moved from %v to %v within %s", earlier.share, s.share, s.at.Sub(earlier.at))
+			if s.at.Sub(earlier.at) < window && s.value-earlier.value > limit {
+				c.fatalf("share moved from %v to %v within %s", earlier.value, s.value, s.at.Sub(earlier.at))
 			}
 		}
 		samples = append(samples, s)
-		return s.share >= reach, strconv.FormatFloat(s.share, 'g', -1, 64)
+		return s.value >= reach, strconv.FormatFloat(s.value, 'g', -1, 64)
 	})
 }
 
@@ -49,6 +49,6 @@
 	c.check(json.Unmarshal(doc, &state))
 	var v any
 	c.check(json.Unmarshal(doc, &v))
-	share, _ := valueAt(v, path).(float64) // a domain that is not listed has none
-	return sample{at: state.Time, share: share}
+	value, _ := valueAt(v, path).(float64) // what is not listed has none
+	return sample{at: state.Time, value: value}
 }
