keelpeer: no deadlock when a connection ends while another opens

Cause: a goroutine that opens a connection holds the lock of its peer and took that of all peers to start another goroutine; the end of a connection takes the two in the other order. Seen once: a voter at a planned stop hung for four minutes with every goroutine of its peer port waiting for the lock of all peers.

Change: starting goroutines has a lock of its own, which is taken last. The new test, which starts a goroutine under the lock of all peers, hung before.

--- a/keelpeer/export_test.go
+++ b/keelpeer/export_test.go
@@ -42,3 +42,11 @@
 	}
 	return r.result()
 }
+
+// StartWhileLocked starts a goroutine while the lock of the peers is held, as
+// when a connection ends in another goroutine.
+func (t *Transport) StartWhileLocked(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start(f)
+}
--- a/keelpeer/fault_test.go
+++ b/keelpeer/fault_test.go
@@ -132,3 +132,13 @@
 	is.True(errors.Is(err, keelpeer.ErrUnreachable))
 	is.Equal(len(v.noted), 0)
 }
+
+// TestStartNeedsNoOtherLock starts a goroutine as one that opens a connection
+// does: it holds the lock of a peer, for which the end of a connection waits
+// with the lock of all peers held. On a fault it hangs.
+func TestStartNeedsNoOtherLock(t *testing.T) {
+	v := newQUICBench(t)
+	done := make(chan struct{})
+	is.New(t).True(v.qa.StartWhileLocked(func() { close(done) }))
+	<-done
+}
--- a/keelpeer/transport.go
+++ b/keelpeer/transport.go
@@ -77,7 +77,12 @@
 	mu     sync.Mutex
 	closed bool
 	peers  map[poolKey]*peer
-	group  conc.WaitGroup
+
+	// startMu guards the start of goroutines. It is taken last, also by those
+	// that hold the lock of a peer, which comes after mu.
+	startMu  sync.Mutex
+	stopping bool
+	group    conc.WaitGroup
 }
 
 var _ keel.Transport = (*Transport)(nil)
@@ -165,6 +170,9 @@
 func (t *Transport) Wait() { <-t.stopped }
 
 func (t *Transport) stop() {
+	t.startMu.Lock()
+	t.stopping = true
+	t.startMu.Unlock()
 	t.mu.Lock()
 	t.closed = true
 	peers := t.peers
@@ -182,9 +190,9 @@
 
 // start runs f in the transport's group, unless the transport is closed.
 func (t *Transport) start(f func()) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed {
+	t.startMu.Lock()
+	defer t.startMu.Unlock()
+	if t.stopping {
 		return false
 	}
 	t.group.Go(f)
