keelcapacity: memory of real processes that hold client blocks

--only memory builds the program, starts three voters and an instance without a disk, posts the blocks in changes of 25,000 and reads resident memory, its highest value and the live heap after the load and after a restart, at 275,000, 550,000 and 1.1 million blocks. The dump's process section has the live heap.

--- a/cmd/keelcapacity/main.go
+++ b/cmd/keelcapacity/main.go
@@ -23,7 +23,9 @@
 		Description: "Example: go run ./cmd/keelcapacity --plots docs/capacity",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "window", Usage: "how long idle instances are watched", Value: 8 * time.Second},
-			&cli.StringFlag{Name: "only", Usage: "`NAME` of the one measurement to make: blocks, idle-by-size, idle-by-domains or in-force"},
+			&cli.DurationFlag{Name: "memory-rest", Usage: "how long processes rest before their memory is read", Value: 30 * time.Second},
+			&cli.IntSliceFlag{Name: "memory-blocks", Usage: "`NUMBERS` of client blocks that memory is measured at", Value: []int{keelcapacity.TargetBlocks / 4, keelcapacity.TargetBlocks / 2, keelcapacity.TargetBlocks}},
+			&cli.StringFlag{Name: "only", Usage: "`NAME` of the one measurement to make: blocks, memory, idle-by-size, idle-by-domains or in-force"},
 			&cli.StringFlag{Name: "plots", Usage: "`FOLDER` to write plots to"},
 		},
 		Action: run,
@@ -37,7 +39,7 @@
 func run(ctx context.Context, cmd *cli.Command) error {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	cfg := keelcapacity.Config{Window: cmd.Duration("window"), Log: log}
+	cfg := keelcapacity.Config{Window: cmd.Duration("window"), MemoryRest: cmd.Duration("memory-rest"), MemoryBlocks: cmd.IntSlice("memory-blocks"), Log: log}
 	for _, m := range measurements {
 		if only := cmd.String("only"); only != "" && only != m.name {
 			continue
@@ -66,6 +68,7 @@
 
 var measurements = []measurement{
 	{"blocks", keelcapacity.Blocks},
+	{"memory", keelcapacity.Memory},
 	{"idle-by-size", keelcapacity.IdleByDomainSize},
 	{"idle-by-domains", keelcapacity.IdleByDomains},
 	{"in-force", keelcapacity.InForceTime},
--- a/keelcapacity/idle.go
+++ b/keelcapacity/idle.go
@@ -19,7 +19,11 @@
 type Config struct {
 	// Window is how long idle instances are watched.
 	Window time.Duration
-	Log    *logrus.Logger
+	// MemoryRest is how long processes rest before their memory is read.
+	MemoryRest time.Duration
+	// MemoryBlocks are the numbers of client blocks that memory is measured at.
+	MemoryBlocks []int
+	Log          *logrus.Logger
 }
 
 // Sizes of the target.
--- a/keelinstance/state.go
+++ b/keelinstance/state.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"runtime"
+	runtimemetrics "runtime/metrics"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,17 @@
 type ProcessDump struct {
 	Goroutines int    `json:"goroutines"`
 	HeapBytes  uint64 `json:"heap_bytes"`
+	// LiveHeapBytes is what the last garbage collection found in use.
+	LiveHeapBytes uint64 `json:"live_heap_bytes"`
+}
+
+func newProcessDump() ProcessDump {
+	samples := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/gc/heap/live:bytes"}}
+	runtimemetrics.Read(samples)
+	return ProcessDump{
+		Goroutines: runtime.NumGoroutine(),
+		HeapBytes:  samples[0].Value.Uint64(), LiveHeapBytes: samples[1].Value.Uint64(),
+	}
 }
 
 // stateDump gives the operator port the state of an instance. It implements
@@ -51,8 +63,6 @@
 // Dump returns the state of every part.
 func (s stateDump) Dump() any {
 	in := s.in
-	var mem runtime.MemStats
-	runtime.ReadMemStats(&mem)
 	d := Dump{
 		Instance:  in.self,
 		Addresses: in.Addresses(),
@@ -62,7 +72,7 @@
 		InFlight:  in.front.InFlight(),
 		Version:   in.control.replica.Current().Version,
 		Current:   in.currency.dump(),
-		Process:   ProcessDump{Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc},
+		Process:   newProcessDump(),
 		Members:   in.members.View(),
 		Replica:   in.control.replica.Dump(),
 		Steering:  in.engine.Dump(),
