keelmemory: soft limit that holds while the live heap leaves room

The runtime keeps as much garbage as live heap and returns little of it. A fixed soft limit brought a voter to 79 MB at half a core of garbage collection.

Change: memory.soft_limit_bytes, 40 MiB by default, is in force only while a quarter of the live heap fits beside what is in use; otherwise the runtime's own pace holds, and the heap is collected after pauses that double from 4 s to 2 min, in case most of it is garbage.

--- a/keelcommand/serve.go
+++ b/keelcommand/serve.go
@@ -10,6 +10,7 @@
 	"github.com/greengagekeel/greengagekeel/keelconfig"
 	"github.com/greengagekeel/greengagekeel/keelinstance"
 	"github.com/greengagekeel/greengagekeel/keelkey"
+	"github.com/greengagekeel/greengagekeel/keelmemory"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
@@ -52,7 +53,7 @@
 			return fail(ExitFailed, err, "check the folder of --addresses")
 		}
 	}
-	return runInstance(ctx, in, log)
+	return runInstance(ctx, in, settings.Memory.SoftLimitBytes, log)
 }
 
 func newLogger(s *keelconfig.Settings, stderr io.Writer) (*logrus.Logger, error) {
@@ -77,7 +78,7 @@
 
 // runInstance runs in until it has left after a signal, or is stopped by a
 // second one.
-func runInstance(ctx context.Context, in *keelinstance.Instance, log *logrus.Logger) error {
+func runInstance(ctx context.Context, in *keelinstance.Instance, softLimit int64, log *logrus.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -86,6 +87,8 @@
 	s := &stopper{in: in, log: log, signals: signals, cancel: cancel}
 	var group conc.WaitGroup
 	group.Go(func() { s.run(ctx) })
+	memory := keelmemory.NewKeeper(softLimit)
+	group.Go(func() { _ = memory.Run(ctx) })
 	err := in.Run(ctx)
 	cancel()
 	group.Wait()
--- a/keelconfig/check.go
+++ b/keelconfig/check.go
@@ -16,6 +16,8 @@
 	maxKeyedBytes  = 64 << 20
 	maxInFlight    = 1 << 20
 	maxVoters      = 7
+	minSoftLimit   = 16 << 20
+	maxSoftLimit   = 1 << 40
 
 	minHeartbeat = keel.Duration(50 * time.Millisecond)
 	maxHeartbeat = keel.Duration(time.Minute)
@@ -48,6 +50,7 @@
 	}
 	fs.Under("limits", s.Limits.check())
 	fs.Under("timing", s.Timing.check())
+	fs.Under("memory", s.Memory.check())
 	return fs
 }
 
@@ -142,6 +145,14 @@
 	return fs
 }
 
+func (m Memory) check() keel.Faults {
+	var fs keel.Faults
+	if m.SoftLimitBytes != 0 {
+		checkRange(&fs, "soft_limit_bytes", m.SoftLimitBytes, minSoftLimit, maxSoftLimit)
+	}
+	return fs
+}
+
 func checkRange[T int | int64 | keel.Duration](fs *keel.Faults, field string, v, low, high T) {
 	if v < low || v > high {
 		fs.Add(field, "is %v, must lie between %v and %v", v, low, high)
--- a/keelconfig/settings.go
+++ b/keelconfig/settings.go
@@ -36,6 +36,7 @@
 	Log    Log                 `json:"log,omitzero"`
 	Limits Limits              `json:"limits,omitzero"`
 	Timing Timing              `json:"timing,omitzero"`
+	Memory Memory              `json:"memory,omitzero"`
 	// FaultInjection lets operators cut the instance off from others for
 	// tests. It must be off in production.
 	FaultInjection bool `json:"fault_injection,omitempty"`
@@ -93,6 +94,13 @@
 	BodyIdle keel.Duration `json:"body_idle,omitempty"`
 }
 
+// Memory says how much memory the process should stay in.
+type Memory struct {
+	// SoftLimitBytes is what the program's own memory is kept below, without
+	// the pages of its file, while its live heap leaves room; 0 means no limit.
+	SoftLimitBytes int64 `json:"soft_limit_bytes"`
+}
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
@@ -109,6 +117,7 @@
 			StopGrace: keel.Duration(10 * time.Minute),
 			BodyIdle:  keel.Duration(30 * time.Second),
 		},
+		Memory: Memory{SoftLimitBytes: 40 << 20},
 	}
 }
 
--- /dev/null
+++ b/keelmemory/limit_test.go
@@ -0,0 +1,60 @@
+package keelmemory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/greengagekeel/greengagekeel/keelmemory"
+	"github.com/matryer/is"
+)
+
+func TestLimit(t *testing.T) {
+	const mb = 1 << 20
+	tests := []struct {
+		name string
+		soft int64
+		used keelmemory.Usage
+		want int64
+	}{
+		{"off", 0, keelmemory.Usage{Live: mb}, keelmemory.NoLimit},
+		{"room", 44 * mb, keelmemory.Usage{Live: 20 * mb, Other: 8 * mb}, 44 * mb},
+		{"just enough room", 28 * mb, keelmemory.Usage{Live: 16 * mb, Other: 8 * mb}, 28 * mb},
+		{"too little room", 28*mb - 1, keelmemory.Usage{Live: 16 * mb, Other: 8 * mb}, keelmemory.NoLimit},
+		{"more in use than the limit", 44 * mb, keelmemory.Usage{Live: 200 * mb}, keelmemory.NoLimit},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(keelmemory.Limit(tt.soft, tt.used), tt.want)
+		})
+	}
+}
+
+// TestKeeperCollects follows a process second by second whose heap holds more
+// than the limit allows, has it collected, and shrinks in the end.
+func TestKeeperCollects(t *testing.T) {
+	const mb = 1 << 20
+	is := is.New(t)
+	k := keelmemory.NewKeeper(40 * mb)
+	large, small := keelmemory.Usage{Live: 60 * mb}, keelmemory.Usage{Live: 20 * mb}
+	start := time.Unix(0, 0)
+	collected := func(from, to int, u keelmemory.Usage) (seconds []int) {
+		for i := from; i < to; i++ {
+			limit, collect := k.Step(start.Add(time.Duration(i)*time.Second), u)
+			is.Equal(limit == keelmemory.NoLimit, u == large)
+			if collect {
+				seconds = append(seconds, i)
+			}
+		}
+		return seconds
+	}
+	is.Equal(collected(0, 500, large), []int{4, 12, 28, 60, 124, 244, 364, 484}) // pauses double up to two minutes
+	is.Equal(collected(500, 510, small), nil)
+	is.Equal(collected(510, 520, large), []int{513}) // and start anew
+}
+
+func TestRead(t *testing.T) {
+	u := keelmemory.Read()
+	is := is.New(t)
+	is.True(u.Other > 0)
+	is.True(u.Other < 1<<40) // the heap's parts are not more than the whole
+}
