keeldeclare, keellookup, keelquorum: one copy of the client blocks

Cause, by heap profiles of a voter with 1.1 million blocks: a look-up table of 9.6 MB beside the declared form; after a restart a second declared form of 8.5 MB, since machine and replica are read from files of their own; the log of changes packed twice, 8.8 MB; log entries up to 15 MB.

--- a/keeldeclare/blockbuilder.go
+++ b/keeldeclare/blockbuilder.go
@@ -35,6 +35,7 @@
 		a.pending = make([]E, 0, chunkEntries)
 	}
 	a.last = e
+	a.chunks.lengths.add(e.length())
 	a.pending = append(a.pending, e)
 	if len(a.pending) == chunkEntries {
 		a.chunks.add(a.pending)
@@ -117,7 +118,7 @@
 	b.blocks.v4 = b.v4.done()
 	b.blocks.v6 = b.v6.done()
 	b.blocks.lists.settle()
-	return b.blocks
+	return b.blocks.settled()
 }
 
 // Check reports a part that can't be unpacked.
--- a/keeldeclare/blockchunks.go
+++ b/keeldeclare/blockchunks.go
@@ -19,7 +19,11 @@
 // list share.
 type chunks[E entry[E]] struct {
 	list [][]E
-	len  int
+	// firsts holds the first entry of each chunk, so that a search reads few
+	// lines of memory.
+	firsts  []E
+	len     int
+	lengths lengths
 }
 
 // edit puts an entry or deletes the one with its prefix.
@@ -75,8 +79,12 @@
 	if len(edits) == 0 {
 		return c
 	}
-	var out chunks[E]
+	out := chunks[E]{lengths: c.lengths}
 	out.list = make([][]E, 0, len(c.list)+len(edits)/chunkEntries+1)
+	out.firsts = make([]E, 0, cap(out.list))
+	for i := range edits {
+		out.lengths.add(edits[i].entry.length())
+	}
 	for i, chunk := range c.list {
 		n := len(edits)
 		if i < len(c.list)-1 {
@@ -107,11 +115,13 @@
 	}
 	if len(chunk) <= maxChunkEntries {
 		c.list = append(c.list, chunk)
+		c.firsts = append(c.firsts, chunk[0])
 		return
 	}
 	parts := (len(chunk) + chunkEntries - 1) / chunkEntries
 	for part := range slices.Chunk(chunk, (len(chunk)+parts-1)/parts) {
 		c.list = append(c.list, slices.Clone(part))
+		c.firsts = append(c.firsts, part[0])
 	}
 }
 
@@ -133,12 +143,13 @@
 
 // mapped returns the list with f applied to every entry; f keeps the prefix.
 func (c chunks[E]) mapped(f func(E) E) chunks[E] {
-	out := chunks[E]{list: make([][]E, len(c.list)), len: c.len}
+	out := chunks[E]{list: make([][]E, len(c.list)), firsts: make([]E, len(c.list)), len: c.len, lengths: c.lengths}
 	for i, chunk := range c.list {
 		out.list[i] = make([]E, len(chunk))
 		for j, e := range chunk {
 			out.list[i][j] = f(e)
 		}
+		out.firsts[i] = out.list[i][0]
 	}
 	return out
 }
--- a/keeldeclare/blockentry.go
+++ b/keeldeclare/blockentry.go
@@ -11,6 +11,17 @@
 	// compare orders entries by their prefix alone.
 	compare(E) int
 	list() ListID
+	// length is the number of bits of the prefix.
+	length() int
+	// common returns how many leading bits the addresses have in common.
+	common(E) int
+	// truncated returns the entry of the first bits of the address.
+	truncated(bits int) E
+	// rank returns how many entries of a sorted list come at or before this
+	// one.
+	rank(list []E) int
+	// rankNear is rank for a list whose last entries are the likely place.
+	rankNear(list []E) int
 }
 
 const (
--- a/keeldeclare/blocklists.go
+++ b/keeldeclare/blocklists.go
@@ -77,21 +77,13 @@
 	return n
 }
 
-func (l *siteLists) sites(id ListID) []keel.SiteName {
+// named returns the lists so far.
+func (l *siteLists) named() namedLists {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	out := make([]keel.SiteName, 0, maxListSites)
-	for _, n := range l.lists[id] {
-		if n == 0 {
-			break
-		}
-		out = append(out, l.names[n])
-	}
-	return out
+	return namedLists{names: l.names, lists: l.lists}
 }
 
-func (l *siteLists) hash(id ListID) uint64 { return sitesHash(l.sites(id)) }
-
 // due reports whether the lists have doubled since the last compaction, or the
 // numbers for sites run out.
 func (l *siteLists) due() bool {
--- a/keeldeclare/blockpart.go
+++ b/keeldeclare/blockpart.go
@@ -70,7 +70,7 @@
 	}
 	n := uint64(len(w.lists))
 	w.lists[id] = n
-	sites := w.blocks.lists.sites(id)
+	sites := w.blocks.named.sites(id)
 	w.part.Lists = binary.AppendUvarint(w.part.Lists, uint64(len(sites)))
 	for _, s := range sites {
 		w.part.Lists = binary.AppendUvarint(w.part.Lists, w.site(s))
--- a/keeldeclare/blocks.go
+++ b/keeldeclare/blocks.go
@@ -17,6 +17,11 @@
 	v4    chunks[entry4]
 	v6    chunks[entry6]
 	lists *siteLists
+	named namedLists
+	// index4 says which chunks of v4 an address may lie in.
+	index4 []uint32
+	// mapped says that v6 has blocks of IPv4 addresses.
+	mapped bool
 	// sum is the sum of the hashes of all blocks, so that one block's change
 	// costs one hash.
 	sum uint64
@@ -37,11 +42,7 @@
 // NewBlocks returns a table of the given blocks, which must be valid. Of two
 // blocks with one prefix the later one counts.
 func NewBlocks(list iter.Seq2[netip.Prefix, []keel.SiteName]) *Blocks {
-	var edits []blockEdit
-	for p, sites := range list {
-		edits = append(edits, blockEdit{prefix: p, sites: sites})
-	}
-	return newBlocks().with(edits)
+	return newBlocks().Update(list, nil)
 }
 
 // Len returns the number of blocks.
@@ -50,7 +51,7 @@
 // All yields every block with its preferred sites, the best first. The lists
 // of sites are shared and must not be changed.
 func (b *Blocks) All() iter.Seq2[netip.Prefix, []keel.SiteName] {
-	return b.named(b.AllLists())
+	return b.withSites(b.AllLists())
 }
 
 // AllLists is like [Blocks.All] but yields the identity of the list of sites.
@@ -69,13 +70,13 @@
 	}
 }
 
-func (b *Blocks) named(seq iter.Seq2[netip.Prefix, ListID]) iter.Seq2[netip.Prefix, []keel.SiteName] {
+func (b *Blocks) withSites(seq iter.Seq2[netip.Prefix, ListID]) iter.Seq2[netip.Prefix, []keel.SiteName] {
 	return func(yield func(netip.Prefix, []keel.SiteName) bool) {
 		names := map[ListID][]keel.SiteName{}
 		for p, id := range seq {
 			sites, ok := names[id]
 			if !ok {
-				sites = b.lists.sites(id)
+				sites = b.named.sites(id)
 				names[id] = sites
 			}
 			if !yield(p, sites) {
@@ -86,7 +87,7 @@
 }
 
 // Sites returns the list of sites with an identity that b yielded.
-func (b *Blocks) Sites(id ListID) []keel.SiteName { return b.lists.sites(id) }
+func (b *Blocks) Sites(id ListID) []keel.SiteName { return b.named.sites(id) }
 
 // SharesLists reports whether an identity of a list means the same in both
 // tables.
@@ -98,7 +99,7 @@
 	if !ok {
 		return nil, false
 	}
-	return b.lists.sites(id), true
+	return b.named.sites(id), true
 }
 
 func (b *Blocks) find(p netip.Prefix) (ListID, bool) {
@@ -133,14 +134,31 @@
 	if gone {
 		return nil
 	}
-	return b.lists.sites(id)
+	return b.named.sites(id)
 }
 
 func (b *Blocks) sameList(old *Blocks, was, is ListID) bool {
 	if b.lists == old.lists {
 		return was == is
 	}
-	return slices.Equal(old.lists.sites(was), b.lists.sites(is))
+	return slices.Equal(old.named.sites(was), b.named.sites(is))
+}
+
+// Update returns a table with the blocks of del removed and then those of put
+// added or replaced, which must be valid. Either may be nil.
+func (b *Blocks) Update(put iter.Seq2[netip.Prefix, []keel.SiteName], del iter.Seq[netip.Prefix]) *Blocks {
+	var edits []blockEdit
+	if del != nil {
+		for p := range del {
+			edits = append(edits, blockEdit{prefix: p})
+		}
+	}
+	if put != nil {
+		for p, sites := range put {
+			edits = append(edits, blockEdit{prefix: p, sites: sites})
+		}
+	}
+	return b.with(edits)
 }
 
 // with returns a table with the edits, of which the last on a prefix counts.
@@ -167,7 +185,15 @@
 	}
 	out.v4 = b.v4.with(e4)
 	out.v6 = b.v6.with(e6)
-	return out.compacted()
+	return out.settled().compacted()
+}
+
+// settled notes what look-ups need of the finished table.
+func (b *Blocks) settled() *Blocks {
+	b.named = b.lists.named()
+	b.index4 = makeIndex4(b.v4.firsts)
+	b.mapped = b.hasMapped()
+	return b
 }
 
 // lastOfEach sorts the edits and keeps the last one on each prefix.
@@ -182,7 +208,7 @@
 func (b *Blocks) sumChange(ed blockEdit) uint64 {
 	var delta uint64
 	if id, ok := b.find(ed.prefix); ok {
-		delta -= blockHash(ed.prefix, b.lists.hash(id))
+		delta -= blockHash(ed.prefix, sitesHash(b.named.sites(id)))
 	}
 	if len(ed.sites) > 0 {
 		delta += blockHash(ed.prefix, sitesHash(ed.sites))
@@ -213,7 +239,7 @@
 	move := func(id ListID) ListID {
 		to, ok := moved[id]
 		if !ok {
-			to = lists.intern(b.lists.sites(id))
+			to = lists.intern(b.named.sites(id))
 			moved[id] = to
 		}
 		return to
@@ -222,5 +248,5 @@
 	out.v4 = b.v4.mapped(func(e entry4) entry4 { return makeEntry4(e.prefix(), move(e.list())) })
 	out.v6 = b.v6.mapped(func(e entry6) entry6 { return makeEntry6(e.prefix(), move(e.list())) })
 	lists.settle()
-	return out
+	return out.settled()
 }
--- a/keeldeclare/changelog.go
+++ b/keeldeclare/changelog.go
@@ -10,7 +10,7 @@
 
 // Limits on what is kept of past changes.
 const (
-	defaultLogBytes   = 4 << 20
+	defaultLogBytes   = 2 << 20
 	defaultLogRecords = 10_000
 )
 
@@ -149,14 +149,16 @@
 }
 
 // find returns the position of the record that leads on from version v.
-func (l *changeLog) find(v keel.Version) (int, bool) {
-	i, _ := slices.BinarySearchFunc(l.records, v, func(r record, v keel.Version) int {
+func (l *changeLog) find(v keel.Version) (int, bool) { return findRecord(l.records, v) }
+
+func findRecord(records []record, v keel.Version) (int, bool) {
+	i, _ := slices.BinarySearchFunc(records, v, func(r record, v keel.Version) int {
 		if r.To <= v {
 			return -1
 		}
 		return 1
 	})
-	if i == len(l.records) || l.records[i].From > v {
+	if i == len(records) || records[i].From > v {
 		return 0, false
 	}
 	return i, true
--- a/keeldeclare/machine.go
+++ b/keeldeclare/machine.go
@@ -17,7 +17,7 @@
 	OnCommit func(*Snapshot)
 	// MaxOutcomes bounds the outcomes that are kept; 0 means 10,000.
 	MaxOutcomes int
-	// MaxLogBytes bounds the operations of past changes; 0 means 4 MiB.
+	// MaxLogBytes bounds the operations of past changes; 0 means 2 MiB.
 	MaxLogBytes int
 	// MaxLogRecords bounds the number of past changes; 0 means 10,000.
 	MaxLogRecords int
@@ -54,6 +54,13 @@
 // Current returns the committed state.
 func (m *Machine) Current() *Snapshot { return m.current.Load() }
 
+// state returns the committed state and the changes that are kept.
+func (m *Machine) state() (*Snapshot, []record) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.current.Load(), m.log.records[:len(m.log.records):len(m.log.records)]
+}
+
 // Outcome returns what became of a change, while it is kept.
 func (m *Machine) Outcome(id keel.ChangeID) (keel.Outcome, bool) {
 	m.mu.RLock()
--- a/keeldeclare/replica.go
+++ b/keeldeclare/replica.go
@@ -20,7 +20,7 @@
 	// only Current. It may be nil.
 	OnApply func(*Snapshot)
 	// MaxLogBytes bounds the operations of past changes that are kept for
-	// other instances; 0 means 4 MiB.
+	// other instances; 0 means 2 MiB.
 	MaxLogBytes int
 }
 
@@ -256,28 +256,43 @@
 }
 
 // Follow makes the state of a voter's machine the state in force, if it is
-// newer. Both then share their memory. It is meant to be called from
-// [MachineConfig.OnCommit].
+// newer. Both then share their memory, also if the versions are equal. It is
+// meant to be called from [MachineConfig.OnCommit].
 func (r *Replica) Follow(m *Machine) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cur := r.current.Load()
-	s := m.Current()
-	if s.Version <= cur.Version {
+	s, records := m.state()
+	switch {
+	case s.Version < cur.Version:
+		return nil
+	case s.Version == cur.Version:
+		r.share(s, records)
 		return nil
 	}
 	r.backfill, r.whole, r.pending = nil, false, nil
-	d, ok := m.Delta(cur.Version)
-	if !ok || d.To != s.Version {
+	at, ok := findRecord(records, cur.Version)
+	if !ok {
 		r.log.reset(nil)
 		return r.store(s, true)
 	}
-	if err := r.logDelta(s, &d); err != nil {
-		return err
+	for _, record := range records[at:] {
+		r.log.add(record)
 	}
 	return r.store(s, true)
 }
 
+// share replaces the state in force and the changes that led to it by equal
+// ones of the machine. After a restart both were read from files of their own.
+func (r *Replica) share(s *Snapshot, records []record) {
+	cur := r.current.Load()
+	if cur.Partial || cur.Checksum != s.Checksum {
+		return
+	}
+	r.log.reset(records)
+	r.current.Store(s)
+}
+
 // ReplicaDump is the replica's part of the state dump.
 type ReplicaDump struct {
 	Version  keel.Version `json:"version"`
--- a/keelquorum/apply.go
+++ b/keelquorum/apply.go
@@ -104,13 +104,12 @@
 	return nil
 }
 
-// minSnapshotBytes is the size of the entries after which a snapshot is made
-// although there are few of them, unless the state itself is larger. It bounds
-// the log in memory and on disk.
-const minSnapshotBytes = 8 << 20
+// maxLogBytes is the size of the entries after which a snapshot is made although
+// there are few of them. It bounds the log in memory and on disk.
+const maxLogBytes = 4 << 20
 
 func (a *applier) snapshotDue() bool {
-	return a.since >= a.node.cfg.SnapshotEvery || a.bytes >= max(minSnapshotBytes, a.size)
+	return a.since >= a.node.cfg.SnapshotEvery || a.bytes >= maxLogBytes
 }
 
 func (a *applier) restore(s keel.StoredSnapshot) error {
--- a/keelquorum/core.go
+++ b/keelquorum/core.go
@@ -63,7 +63,7 @@
 	// Election is the shortest time without a leader before an election.
 	Election time.Duration
 	// Tail is the number of entries that stay in memory behind a snapshot for
-	// voters that lag, as long as they have no more than 4 MiB.
+	// voters that lag, as long as they have no more than 2 MiB.
 	Tail uint64
 }
 
--- a/keelquorum/log.go
+++ b/keelquorum/log.go
@@ -80,7 +80,7 @@
 }
 
 // maxTailBytes is the size of the entries kept behind a snapshot.
-const maxTailBytes = 4 << 20
+const maxTailBytes = 2 << 20
 
 // tail returns the index up to which entries are dropped if count entries and
 // [maxTailBytes] up to index stay.
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -41,14 +41,13 @@
 
 func (e *Engine) makePlan(now time.Time) {
 	snapshot := e.cfg.Declared()
-	old := e.plan.Load()
 	p := &plan{
 		snapshot: snapshot,
 		view:     e.cfg.View(),
 		entries:  e.cfg.Endpoints.Entries(),
 	}
 	p.indexDeclarations()
-	p.blocks = blockTable(old, snapshot)
+	p.blocks = keellookup.TableOf(snapshot.Blocks)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.setOwners(now, p)
