keelproxy: a refusal that comes before the body has been sent is read

Cause: an instance that refuses a forwarded request stops reading its stream. The sender's next write, or the end of its sending direction, then failed, and the sender cancelled the stream or gave up with the refusal still unread: the caller got may_have_run (peer_failed) for a request that was refused as not_run.

Change: a failed send leaves the stream open, and what the other instance answered decides. A body that breaks while it is read still cancels the stream.

--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -88,9 +88,9 @@
 	if r.HasBody() {
 		x.sender = &bodySender{stream: s, body: r.Body}
 		x.group.Go(x.sender.run)
-	} else if err := s.CloseWrite(); err != nil {
-		x.abort()
-		return nil, keel.Refuse(keel.MayHaveRun, keel.ReasonPeerFailed, 0, "send to instance at %s: %v", to, err)
+	} else {
+		// It fails if the other instance has answered already; the answer tells.
+		_ = s.CloseWrite()
 	}
 	return x.answer(ctx, to)
 }
@@ -165,11 +165,24 @@
 		// The other instance knows whether a byte left for an endpoint.
 		err = keel.NewCBORWriter(b.stream).Write(&chunk{Stalled: true})
 	}
-	if err != nil {
+	// An instance that refuses stops reading the body, so that sending fails
+	// while its refusal is on the way. Only a body that broke ends the stream.
+	var broke *readError
+	if errors.As(err, &broke) {
 		b.stream.Cancel()
 	}
 }
 
+// readError is a failure to read a body that is to be sent, other than a failure
+// to send it.
+type readError struct{ err error }
+
+// Error implements error.
+func (e *readError) Error() string { return "read body: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *readError) Unwrap() error { return e.err }
+
 // sendBody sends body in chunks, ends with one that is marked as the last and
 // closes the sending direction. If body fails, no last chunk is sent.
 func sendBody(s keel.Stream, body io.Reader) error {
@@ -196,7 +209,7 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "read body")
+			return &readError{err}
 		}
 	}
 }
