keelguard: ask for permissions in use only when a suspect needs one

Cause: since each instance asked every registered one after its start, which left a connection from every instance to every other.

Change: a home that refuses a permission for want of what others know asks them in its next tick, within a second; without suspects nothing is asked. A test counts the bytes: none before the first suspect.

--- a/keelguard/recall.go
+++ b/keelguard/recall.go
@@ -73,13 +73,30 @@
 		if h == s.cfg.Self.Name {
 			return true
 		}
-		if live(h) || !s.recalled.lost[h] {
+		if live(h) {
+			return false
+		}
+		if !s.recalled.lost[h] {
+			s.wanted = true
 			return false
 		}
 	}
 	return false
 }
 
+// recallIfWanted asks other instances only if a permission was refused for want
+// of what they know, so that instances which have no suspects need no
+// connections to all others.
+func (s *Service) recallIfWanted(ctx context.Context) {
+	s.mu.Lock()
+	wanted := s.wanted
+	s.wanted = false
+	s.mu.Unlock()
+	if wanted {
+		s.Recall(ctx)
+	}
+}
+
 // Recall asks other instances which permissions they use: every registered one
 // after the start, and the live ones after the loss of a home. Until the live
 // ones have told, this instance gives none.
--- a/keelguard/recall_test.go
+++ b/keelguard/recall_test.go
@@ -1,12 +1,15 @@
 package keelguard_test
 
 import (
+	"context"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/greengagekeel/greengagekeel/keelguard"
 )
@@ -153,3 +156,33 @@
 	all[1].NotStarted(fp)
 	is.True(all[2].Admit(t.Context(), fp).Allow)
 }
+
+// TestRecallOnDemand lets a home that has started again ask the others only once
+// a suspect needs its permission.
+func TestRecallOnDemand(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(guardStart)
+	g, all := newGuards(clock, nil)
+	clock.Advance(guardRetention)
+	fp := homedAt(t, g, all, 0)
+	all[0] = g.start(g.names[0])
+	clock.Advance(settled)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	g.mu.Lock()
+	g.bytes = 0
+	g.mu.Unlock()
+	group.Go(func() { _ = all[0].Run(ctx) })
+	const waiters = 2 // the loops of the service wait for their tickers
+	is.NoErr(clock.BlockUntilContext(ctx, waiters))
+	g.mu.Lock()
+	is.Equal(g.bytes, 0)
+	g.mu.Unlock()
+	is.True(!all[1].Admit(ctx, fp).Allow)
+	for !all[1].Admit(ctx, fp).Allow {
+		clock.Advance(time.Second)
+		runtime.Gosched()
+	}
+}
--- a/keelguard/reclaim.go
+++ b/keelguard/reclaim.go
@@ -19,7 +19,14 @@
 // permit decides about the permission that an instance asks for. The caller
 // holds mu.
 func (s *Service) permit(now time.Time, asker keel.InstanceName, fp ID) bool {
-	if !s.isHome(fp) || !s.poison.Permit(now, fp) {
+	if !s.isHome(fp) {
+		return false
+	}
+	if !s.poison.remembers(now) {
+		s.wanted = true
+		return false
+	}
+	if !s.poison.Permit(now, fp) {
 		return false
 	}
 	s.given[fp] = asker
--- a/keelguard/service.go
+++ b/keelguard/service.go
@@ -67,8 +67,10 @@
 	// given holds the instances that use the permissions of this home.
 	given    map[ID]keel.InstanceName
 	recalled recalled
-	lifted   map[string]bool
-	refused  uint64
+	// wanted says that a permission was refused until others have told theirs.
+	wanted  bool
+	lifted  map[string]bool
+	refused uint64
 	// news asks for evidence to be passed on at once.
 	news chan struct{}
 }
@@ -113,7 +115,7 @@
 	defer ticker.Stop()
 	for {
 		s.tick()
-		s.Recall(ctx)
+		s.recallIfWanted(ctx)
 		s.Reclaim(ctx)
 		select {
 		case <-ctx.Done():
