keelproxy: a caller that still sends its body gets the answer, not a reset

Cause: a connection that is closed with unread bytes is reset by the system, and the caller's system drops the answer that it had not read yet. A POST that was refused before its body was read ended in "connection reset by peer" instead of 503 with not_run, in 27 of 50 tries with 5 MB on loopback, so that the caller could not know that it had not run.

Change: after an answer that came before the end of the body the sending direction is closed, and what the caller still sends is read and dropped for up to 2 s.

A caller that goes on for more than 2 s is still reset.

--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -1,6 +1,7 @@
 package keelproxy
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -31,6 +32,9 @@
 	active atomic.Bool
 	// stalled is set when the caller was given up, since it sent nothing.
 	stalled atomic.Bool
+	// unread is set when the caller got its answer before all of its request was
+	// read.
+	unread  atomic.Bool
 	current atomic.Pointer[proxied]
 	// seen is used by the watch only.
 	seen seenConn
@@ -52,12 +56,33 @@
 	return n, err
 }
 
-// Close closes the connection.
+// Close closes the connection, after the caller could read its answer.
 func (c *callerConn) Close() error {
 	c.watch.remove(c)
+	if c.unread.Load() {
+		c.discard()
+	}
 	return c.Conn.Close()
 }
 
+// lingerTime is how long a connection stays open for a caller that still sends
+// a request which was answered already.
+const lingerTime = 2 * time.Second
+
+// discard ends the sending direction and reads what the caller still sends. A
+// connection that is closed with unread bytes is reset, and the caller's system
+// would drop the answer.
+func (c *callerConn) discard() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.Conn) // the answer has been sent, whatever comes
+}
+
 // callerListener makes a callerConn of each connection.
 type callerListener struct {
 	net.Listener
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -62,7 +62,7 @@
 
 func (p *proxied) refuse(fctx *fasthttp.RequestCtx, refusal *keel.Refusal) {
 	if !p.stopBody() {
-		fctx.SetConnectionClose()
+		p.closeUnread(fctx)
 	}
 	WriteRefusal(fctx, refusal)
 	p.result = Result{Status: refusal.Reason.Status(), Refusal: refusal}
@@ -91,10 +91,17 @@
 		_ = body.Close()
 	}
 	if p.body.r != nil && !p.body.atEnd.Load() {
-		fctx.SetConnectionClose()
+		p.closeUnread(fctx)
 	}
 }
 
+// closeUnread closes the connection after the answer, since the next request
+// can't be told from the rest of this one's body.
+func (p *proxied) closeUnread(fctx *fasthttp.RequestCtx) {
+	fctx.SetConnectionClose()
+	p.conn.unread.Store(true)
+}
+
 // stopBody ends the reading of the caller's body and reports whether all of it
 // was read.
 func (p *proxied) stopBody() bool {
