keelguard: one refusal of a permission that is not remembered

Cause: the service repeated the refusal that the core makes by itself, only to note that others must be asked. Change: it notes that and lets the core refuse.

--- a/keelguard/reclaim.go
+++ b/keelguard/reclaim.go
@@ -22,10 +22,7 @@
 	if !s.isHome(fp) {
 		return false
 	}
-	if !s.poison.remembers(now) {
-		s.wanted = true
-		return false
-	}
+	s.wanted = s.wanted || !s.poison.remembers(now)
 	if !s.poison.Permit(now, fp) {
 		return false
 	}
