keellookup: no table beside the declared blocks

Blocks is a keel.BlockTable itself.

TestTableAgreesWithScan and the scan of keeldeclare now test one table with other addresses; joining them is left.

--- a/keelcapacity/blocks.go
+++ b/keelcapacity/blocks.go
@@ -8,7 +8,7 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
-	"github.com/greengagekeel/greengagekeel/keellookup"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
 )
 
 // Blocks measures the look-up table against the number of client blocks.
@@ -21,7 +21,7 @@
 	for _, n := range []int{100_000, 300_000, 600_000, TargetBlocks} {
 		before := heapBytes()
 		start := time.Now()
-		table := keellookup.NewTable(blocks(n))
+		table := keeldeclare.NewBlocks(blocks(n))
 		built := time.Since(start)
 		mb := float64(heapBytes()-before) / (1 << 20)
 		for i, y := range []float64{mb, float64(built.Milliseconds()), float64(findTime(table, n).Nanoseconds())} {
@@ -64,7 +64,7 @@
 // lookUps is how many look-ups are timed.
 const lookUps = 1_000_000
 
-func findTime(t *keellookup.Table, n int) time.Duration {
+func findTime(t *keeldeclare.Blocks, n int) time.Duration {
 	start := time.Now()
 	for i := range lookUps {
 		t.Find(blockAddr(i * 31 % n).Next())
--- a/keellookup/directory.go
+++ b/keellookup/directory.go
@@ -1,3 +1,10 @@
+// Package keellookup answers which entry instances a caller should use.
+//
+// [Directory] turns the preferred sites of the caller's block, a domain chosen
+// by the share vector and the state of the instances into an ordered answer. The
+// package does no input or output, keeps no clock, does not find the block of an
+// address (a [keel.BlockTable] does) and does not decide how traffic is shared
+// among failure domains.
 package keellookup
 
 import (
--- a/keellookup/directory_test.go
+++ b/keellookup/directory_test.go
@@ -11,12 +11,13 @@
 	"github.com/matryer/is"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
 	"github.com/greengagekeel/greengagekeel/keellookup"
 )
 
 func newDirectory(candidates ...keellookup.Candidate) *keellookup.Directory {
 	return keellookup.NewDirectory(keellookup.DirectoryConfig{
-		Blocks:  keellookup.NewTable(maps.All(blockMap{prefix("10.0.0.0/8"): {"s1", "s2"}})),
+		Blocks:  keeldeclare.NewBlocks(maps.All(blockMap{prefix("10.0.0.0/8"): {"s1", "s2"}})),
 		Sites:   []keel.Site{{Name: "s1", Domain: "d1"}, {Name: "s2", Domain: "d2"}},
 		Domains: []keel.FailureDomain{{Name: "d1", Region: "r1"}, {Name: "d2", Region: "r1"}, {Name: "d3", Region: "r2"}},
 		Home:    "d3", TTL: 5 * time.Second, Candidates: candidates,
--- a/keellookup/table_test.go
+++ b/keellookup/table_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	keel "github.com/greengagekeel/greengagekeel"
-	"github.com/greengagekeel/greengagekeel/keellookup"
+	"github.com/greengagekeel/greengagekeel/keeldeclare"
 )
 
 type blockMap map[netip.Prefix][]keel.SiteName
@@ -21,7 +21,7 @@
 func prefix(s string) netip.Prefix { return netip.MustParsePrefix(s) }
 
 func TestTableFind(t *testing.T) {
-	t0 := keellookup.NewTable(maps.All(blockMap{
+	t0 := keeldeclare.NewBlocks(maps.All(blockMap{
 		prefix("0.0.0.0/0"):         {"any"},
 		prefix("10.0.0.0/8"):        {"dakar", "thies"},
 		prefix("10.1.0.0/16"):       {"thies"},
@@ -101,7 +101,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	table := keellookup.NewTable(targetTable(targetBlocks))
+	table := keeldeclare.NewBlocks(targetTable(targetBlocks))
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -126,7 +126,7 @@
 	crowded := func() netip.Addr {
 		return netip.AddrFrom4([4]byte{10, byte(r.IntN(2)), byte(r.IntN(4) * 16), byte(r.IntN(256))})
 	}
-	table, want := keellookup.NewTable(nil), blockMap{}
+	table, want := keeldeclare.NewBlocks(nil), blockMap{}
 	for round := range 300 {
 		put, del := blockMap{}, []netip.Prefix{}
 		for range r.IntN(8) {
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -21,7 +21,6 @@
 	snapshot  *keeldeclare.Snapshot
 	view      *View
 	lookup    *keellookup.Directory
-	blocks    *keellookup.Table
 	selectors map[keel.ServiceName][]*keel.Selector
 	byName    map[keel.SelectorName]*keel.Selector
 	services  map[keel.ServiceName]bool
@@ -47,7 +46,6 @@
 		entries:  e.cfg.Endpoints.Entries(),
 	}
 	p.indexDeclarations()
-	p.blocks = keellookup.TableOf(snapshot.Blocks)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.setOwners(now, p)
@@ -280,7 +278,7 @@
 func (e *Engine) lookupDirectory(p *plan) *keellookup.Directory {
 	d := p.snapshot.Declarations
 	cfg := keellookup.DirectoryConfig{
-		Blocks:  p.blocks,
+		Blocks:  p.snapshot.Blocks,
 		Sites:   d.Sites,
 		Domains: d.Domains,
 		Home:    e.cfg.Self.Domain,
