keelsync, keelworld: leaves are agreed on, a voter that was replaced comes back

That voter had been removed from the set though it was the only one of its failure domain: one that a new leader had never heard counted as alive, and so as its own successor. Ruled out: followers that lag (their age was below 0.5 s). Change: a leave without a start is resolved in the agreed log; what was never heard replaces nobody (Replaced, a pure function); a voter without a leader for 3 s asks to join.

--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -124,11 +124,8 @@
 }
 
 // Depart takes that the present incarnation of an endpoint leaves. It returns
-// once that is agreed on.
+// once that is agreed on. Which incarnation that is depends on the agreed log,
+// since this voter may lag behind it.
 func (v *Voter) Depart(ctx context.Context, id string) error {
-	held, _, ok := v.machine.endpoint(id, time.Now())
-	if !ok {
-		return nil // nobody sends there
-	}
-	return v.Announce(ctx, &keelworld.Endpoint{ID: id, Born: held.Born, State: keelworld.EndpointLeft})
+	return v.batch.addEndpoint(&keelworld.Endpoint{ID: id, State: keelworld.EndpointLeft}).wait(ctx)
 }
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -242,6 +243,46 @@
 	is.Equal(w.versionOf(v, "a"), keelworld.Version(3))
 }
 
+// A voter that was replaced while it was down comes back with its disk. It votes
+// again, beside the one that replaced it.
+func TestReplacedVoterReturns(t *testing.T) {
+	is := is.New(t)
+	w, voters := grow(t)
+	w.stop(names[0])
+	v := w.voter("10.0.0.7", "d0", false)
+	w.until("the new voter takes the place", func() bool {
+		return voting(v) == len(names) && !slices.ContainsFunc(v.Status().Voters, func(o keel.Voter) bool { return o.Name == keel.InstanceName(names[0]) })
+	})
+	old := w.voter(names[0], "d0", false)
+	w.until("the former voter votes again", func() bool { return voting(old) == len(names)+1 })
+	w.submit(voters[names[1]], patch(item("a", 3)))
+	is.Equal(w.versionOf(old, "a"), keelworld.Version(3))
+}
+
+// A voter that reaches no other can't acknowledge that an endpoint leaves, also
+// if it has never heard of that endpoint.
+func TestLeaveAtVoterCutOff(t *testing.T) {
+	is := is.New(t)
+	w, voters := grow(t)
+	e := keelworld.Endpoint{
+		ID: "e", Born: 1, Sequence: 1, State: keelworld.EndpointServing, Service: "a", Domain: "d0",
+		Address: netip.MustParseAddrPort("10.0.2.1:80"), Slots: 2,
+	}
+	is.NoErr(voters[names[1]].Announce(w.ctx, &e))
+	const fresh = "10.0.0.7"
+	for _, name := range names {
+		w.hub.Cut(addrOf(name), addrOf(fresh))
+	}
+	v := w.voter(fresh, "d0", false)
+	ctx, cancel := context.WithTimeout(w.ctx, 200*time.Millisecond)
+	defer cancel()
+	is.True(v.Depart(ctx, "e") != nil)
+	for _, name := range names {
+		w.hub.Heal(addrOf(name), addrOf(fresh))
+	}
+	is.NoErr(v.Depart(w.ctx, "e"))
+}
+
 // Three voters are cut off from three. Neither half accepts anything; after the
 // cut both agree.
 func TestHalvesAcceptNothing(t *testing.T) {
--- a/keelsync/tend.go
+++ b/keelsync/tend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -30,7 +31,11 @@
 	st := v.node.Status()
 	m := v.heard.take()
 	member, voting := v.membership(&st)
-	m.Join = !voting
+	if st.Leader != "" {
+		v.ledAt = now
+	}
+	// A voter that was replaced while it was cut off is told so by nobody.
+	m.Join = !voting || now.Sub(v.ledAt) > voterSilence
 	if member {
 		v.noteNode(v.cfg.Self)
 	}
@@ -109,7 +114,8 @@
 
 // admit lets an instance join the voters if this one leads.
 func (v *Voter) admit(ctx context.Context, name keel.InstanceName) error {
-	if v.node.Status().Role != string(keelquorum.RoleLeader) {
+	st := v.node.Status()
+	if st.Role != string(keelquorum.RoleLeader) || slices.ContainsFunc(st.Voters, func(o keel.Voter) bool { return o.Name == name && !o.Learner }) {
 		return nil
 	}
 	if _, err := netip.ParseAddr(string(name)); err != nil {
@@ -157,7 +163,7 @@
 			}
 		}
 	})
-	v.strike(ctx, st)
+	v.strike(ctx, now, st)
 }
 
 // gone reports whether nobody has heard something for a time, since this
@@ -174,37 +180,27 @@
 	return now.Sub(last) > limit
 }
 
-// strike removes a voter that is silent if its failure domain has another one,
-// which has taken its place.
-func (v *Voter) strike(ctx context.Context, st *keelquorum.Status) {
-	domains := map[keel.InstanceName]keel.DomainName{}
-	live := map[keel.DomainName]bool{}
+// strike removes a voter that another one in its failure domain has replaced.
+func (v *Voter) strike(ctx context.Context, now time.Time, st *keelquorum.Status) {
+	var members []Member
 	v.machine.with(func(s *keelworld.State) {
 		for _, o := range st.Voters {
+			m := Member{Name: o.Name, Learner: o.Learner}
 			if n, ok := s.Node(o.Name); ok {
-				domains[o.Name] = n.Domain
+				m.Domain = n.Domain
 			}
+			m.Silent, m.Heard = st.Silent[o.Name]
+			members = append(members, m)
 		}
 	})
-	for _, o := range st.Voters {
-		if !o.Learner && (o.Name == st.Self || st.Silent[o.Name] < election) && domains[o.Name] != "" {
-			live[domains[o.Name]] = true
-		}
+	m, ok := Replaced(st.Self, members, now.Sub(v.leading))
+	if !ok {
+		return
 	}
-	for _, o := range st.Voters {
-		age, heard := st.Silent[o.Name]
-		if o.Name == st.Self || heard && age < voterSilence || !live[domains[o.Name]] {
-			continue
-		}
-		if !heard && time.Since(v.leading) < voterSilence {
-			continue
-		}
-		if err := v.node.RemoveVoter(ctx, o.Name); err != nil {
-			v.cfg.Log.WithError(err).WithField("instance", o.Name).Debug("silent voter not removed yet")
-			return
-		}
-		v.cfg.Log.WithFields(logrus.Fields{"instance": o.Name, "silent_ms": age.Milliseconds(), "domain": domains[o.Name]}).
-			Info("silent voter removed, its failure domain has another one")
+	if err := v.node.RemoveVoter(ctx, m.Name); err != nil {
+		v.cfg.Log.WithError(err).WithField("instance", m.Name).Debug("silent voter not removed yet")
 		return
 	}
+	v.cfg.Log.WithFields(logrus.Fields{"instance": m.Name, "heard": m.Heard, "silent_ms": m.Silent.Milliseconds(), "domain": m.Domain}).
+		Info("silent voter removed, its failure domain has another one")
 }
--- a/keelsync/voter.go
+++ b/keelsync/voter.go
@@ -73,6 +73,8 @@
 	seeds   atomic.Pointer[[]netip.Addr]
 	// leading is since when this instance leads, as seen by the tend loop.
 	leading time.Time
+	// ledAt is when the tend loop last knew a leader.
+	ledAt   time.Time
 	silence map[string]time.Time
 }
 
--- a/keelworld/endpoint.go
+++ b/keelworld/endpoint.go
@@ -28,7 +28,7 @@
 	// ID identifies the endpoint among all endpoints.
 	ID string `cbor:"1,keyasint"`
 	// Born is when the incarnation started, by the endpoint's clock, in
-	// milliseconds since 1970.
+	// milliseconds since 1970; 0 means the present incarnation, when it leaves.
 	Born int64 `cbor:"2,keyasint,omitempty"`
 	// Sequence counts the announcements of the incarnation.
 	Sequence int64            `cbor:"3,keyasint,omitempty"`
--- a/keelworld/state.go
+++ b/keelworld/state.go
@@ -85,9 +85,17 @@
 	return Result{}
 }
 
-// announce takes what is newer than what is known of an endpoint.
+// announce takes what is newer than what is known of an endpoint. One that leaves
+// without telling when it started means its present incarnation.
 func (s *State) announce(e *Endpoint) {
 	o, ok := s.endpoints[e.ID]
+	if e.State == EndpointLeft && e.Born == 0 {
+		if ok {
+			o.State = EndpointLeft
+			s.endpoints[e.ID] = o
+		}
+		return
+	}
 	if e.State == EndpointSilent {
 		// Silence counts only if nothing was heard after what it is based on.
 		if ok && o.Born == e.Born && o.Sequence == e.Sequence && o.State != EndpointLeft {
