keelclaim: tickets of a home that can be claimed, a lost home is refused after one round

An instance gave out tickets of its own failure domain though one of three registered instances ran there, so that no such ticket could run; each was refused again and again after 2 s. Ruled out: holders that were slow (the refusals name no majority). Change: a ticket's home has a live majority as far as is known; a claim whose home is known to have none is refused after its first round. Tests: TestTicketHome, TestHomeLost.

--- a/keelclaim/claim.go
+++ b/keelclaim/claim.go
@@ -57,6 +57,7 @@
 		cfg.Sets = append(cfg.Sets, InForce(s.cfg.Holders(home), now, s.memory())...)
 	}
 	cfg.Sets = slices.DeleteFunc(cfg.Sets, func(set Set) bool { return len(set.Holders) == 0 })
+	cfg.HomeLost = func(sets []Set) bool { return s.cfg.Live != nil && !majorities(sets, s.cfg.Live()) }
 	if len(cfg.Sets) == 0 {
 		return cfg, keel.Refuse(keel.NotRun, keel.ReasonClaimHome, 0,
 			"no home of the key has registered instances; possible homes are %q", homes)
--- a/keelclaim/claimant.go
+++ b/keelclaim/claimant.go
@@ -17,6 +17,9 @@
 	// Sets are the sets of holders in force. The claim needs a majority in
 	// each of them.
 	Sets []Set
+	// HomeLost reports whether no majority of some set is known to be live. Then
+	// the claim is refused after one round. It may be nil.
+	HomeLost func(sets []Set) bool
 	// Memory is how long a former set counts.
 	Memory   time.Duration
 	Deadline time.Time
@@ -347,6 +350,8 @@
 		return c.cfg.Deadline
 	case c.ballot.held:
 		return earlier(c.cfg.Deadline, c.started.Add(lateWait))
+	case c.cfg.HomeLost != nil && c.cfg.HomeLost(c.cfg.Sets):
+		return c.started
 	default:
 		return earlier(c.cfg.Deadline, c.started.Add(homeWait))
 	}
--- a/keelclaim/claimant_test.go
+++ b/keelclaim/claimant_test.go
@@ -1,6 +1,7 @@
 package keelclaim_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,3 +72,33 @@
 		})
 	}
 }
+
+// A home without a live majority is refused in the first round, where one that
+// may come back is asked again.
+func TestHomeLost(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			is := is.New(t)
+			c := keelclaim.NewClaimant(keelclaim.ClaimantConfig{
+				Key: keyOf(1), Sets: []keelclaim.Set{holderSet}, Memory: time.Hour, Deadline: holderStart.Add(time.Minute),
+				NextAttempt: func() keelclaim.Attempt { return attemptOf(1) },
+				Random:      func() uint64 { return 0 },
+				HomeLost:    func([]keelclaim.Set) bool { return lost },
+			})
+			ask := c.Start(holderStart)[0]
+			var refusal *keel.Refusal
+			for _, name := range ask.To {
+				for _, a := range c.Failed(holderStart, ask.Attempt, name) {
+					if a.Type == keelclaim.ClaimRefuse {
+						refusal = a.Refusal
+					}
+				}
+			}
+			is.Equal(refusal != nil, lost)
+			if lost {
+				is.Equal(refusal.Verdict, keel.NotRun)
+				is.Equal(refusal.Reason, keel.ReasonClaimHome)
+			}
+		})
+	}
+}
--- a/keelclaim/home.go
+++ b/keelclaim/home.go
@@ -74,3 +74,19 @@
 	}
 	return out
 }
+
+// ticketHome returns the home of a new key.
+func (s *Service) ticketHome(now time.Time) keel.DomainName {
+	for _, d := range append([]keel.DomainName{s.cfg.Self.Domain}, s.eligible()...) {
+		if s.claimable(now, d) {
+			return d
+		}
+	}
+	return s.cfg.Self.Domain
+}
+
+// claimable reports whether keys can be claimed at a home, as far as is known
+// here.
+func (s *Service) claimable(now time.Time, home keel.DomainName) bool {
+	return s.cfg.Live == nil || majorities(InForce(s.cfg.Holders(home), now, s.memory()), s.cfg.Live())
+}
--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -32,6 +32,8 @@
 	// FormerDomains returns the sets of failure domains that were declared
 	// within the retention, without the current one. It may be nil.
 	FormerDomains func() [][]keel.DomainName
+	// Live returns the instances that are known to be live. It may be nil.
+	Live func() map[keel.InstanceName]bool
 	// BarrierLifted reports whether an operator has lifted the barrier of this
 	// instance's failure domain by the label [keel.LabelClaimBarrierLift]. It
 	// may be nil.
@@ -236,12 +238,13 @@
 	return reply, nil
 }
 
-// NewTicket returns a new key whose home is this instance's failure domain.
+// NewTicket returns a new key. Its home is this instance's failure domain, or
+// another one if no majority of the holders there is known to be live.
 func (s *Service) NewTicket(now time.Time) string {
-	t := Ticket{Home: s.cfg.Self.Domain, IssuedAt: now}
+	t := Ticket{Home: s.ticketHome(now), IssuedAt: now}
 	// Read never fails: the runtime ends the process instead.
 	_, _ = rand.Read(t.Random[:])
-	holders := members(InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.memory()))
+	holders := members(InForce(s.cfg.Holders(t.Home), now, s.memory()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range holders[:min(len(holders), maxTicketTags)] {
--- a/keelclaim/service_test.go
+++ b/keelclaim/service_test.go
@@ -187,6 +187,30 @@
 	}
 }
 
+// An instance whose failure domain lacks a majority of its registered instances
+// gives out tickets of another one, which run.
+func TestTicketHome(t *testing.T) {
+	is := is.New(t)
+	n, _ := home(t)
+	n.mu.Lock()
+	n.domains = []keel.DomainName{"dakar-a", "thies-a"}
+	n.sets["thies-a"] = []keelclaim.Set{{Holders: []keel.InstanceName{"k4", "k5", "k6"}, SeenNew: true}}
+	n.mu.Unlock()
+	live := map[keel.InstanceName]bool{"k1": true, "k2": true, "k3": true, "k4": true}
+	s := n.start(t, "k4", "thies-a", 1, func(cfg *keelclaim.Config) {
+		cfg.Live = func() map[keel.InstanceName]bool { return live }
+	})
+	ticket, err := keelclaim.ParseTicket(testSecret, s.NewTicket(time.Now()))
+	is.NoErr(err)
+	is.Equal(ticket.Home, keel.DomainName("dakar-a"))
+	_, err = s.Claim(t.Context(), request(s.NewTicket(time.Now()), time.Minute))
+	is.NoErr(err)
+	live = map[keel.InstanceName]bool{"k4": true, "k5": true}
+	ticket, err = keelclaim.ParseTicket(testSecret, s.NewTicket(time.Now()))
+	is.NoErr(err)
+	is.Equal(ticket.Home, keel.DomainName("thies-a"))
+}
+
 // TestHomes declares a failure domain without registered instances, which is
 // nobody's home, and then registers instances there: keys stay findable.
 func TestHomes(t *testing.T) {
--- a/keelclaim/set.go
+++ b/keelclaim/set.go
@@ -56,6 +56,22 @@
 	})
 }
 
+// majorities reports whether a majority of each set is live.
+func majorities(sets []Set, live map[keel.InstanceName]bool) bool {
+	for _, set := range sets {
+		n := 0
+		for _, name := range set.Holders {
+			if live[name] {
+				n++
+			}
+		}
+		if n < set.Majority() {
+			return false
+		}
+	}
+	return len(sets) > 0
+}
+
 // members returns every holder of the sets once, in the order of first mention.
 func members(sets []Set) []keel.InstanceName {
 	var names []keel.InstanceName
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -177,7 +177,7 @@
 	in.holders = newHolderSets(in.declarations)
 	in.claims = keelclaim.New(keelclaim.Config{
 		Self: in.self, Transport: in.peer, Resolve: in.resolve, Holders: in.holders.sets, Domains: in.domains,
-		BarrierLifted: in.barrierLifted, Clock: clock, Log: in.log, Secret: in.cfg.Keys.Secret(),
+		BarrierLifted: in.barrierLifted, Live: in.reachable, Clock: clock, Log: in.log, Secret: in.cfg.Keys.Secret(),
 		Retention: claimRetention, MaxAnswerBytes: maxAnswerBytes, MaxTotalBytes: maxClaimBytes, Seed: in.self.Incarnation,
 	})
 	in.guard = keelguard.New(keelguard.Config{
