keelplace: shares by use elsewhere, slowness against the mean, dead endpoints are no overload

Requests lost at a dead failure domain shrank the limit of every instance that had sent there. Change: the even part is the bound only if the others are known to be full; slow is what is much slower than the mean; work lost at an endpoint without any answer for 1.5 s does not shrink the limit. Tried and dropped: an endpoint for an object in each failure domain.

--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -1,6 +1,7 @@
 package keelplace
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -50,6 +51,8 @@
 	Detail string
 }
 
+var spreadAll = false
+
 const (
 	// unknownWork is the expected time of a request before any has been seen.
 	unknownWork = 300 * time.Millisecond
@@ -59,7 +62,7 @@
 	// domainCost and regionCost are what it costs to leave the failure domain
 	// or the region: the way there and back, and the bytes on links that can't
 	// grow.
-	domainCost = 2 * time.Millisecond
+	domainCost = 15 * time.Millisecond
 	regionCost = 40 * time.Millisecond
 	// nearRanks is how many endpoints may take the requests for one object. More
 	// would each have to learn the object, and forget others.
@@ -76,10 +79,15 @@
 	maxRetryAfter = 2 * time.Second
 )
 
+func (p *Pool) spread(route string) bool { return spreadAll }
+
 // ranked is an endpoint with its rank for an object.
 type ranked struct {
 	e     *endpoint
 	score float64
+	// first says that the endpoint is the one for the object in its failure
+	// domain or beyond the region.
+	first bool
 }
 
 // Choose returns the endpoint for a request, or refuses one that no endpoint can
@@ -101,9 +109,9 @@
 	if !p.mayTake() {
 		return nil, &Refused{Reason: keel.ReasonOverload, RetryAfter: p.Wait(r.Route), Detail: "the limit of this instance is used up"}
 	}
-	failing := p.failing(now)
+	means := p.means(now)
 	few := order[:min(len(order), maxRank)]
-	usable := p.near(now, r, few, func(e *endpoint) bool { return e.sound(now, failing) })
+	usable := p.near(now, r, few, func(e *endpoint) bool { return e.sound(now, means) })
 	if len(usable) == 0 {
 		usable = p.near(now, r, few, anyEndpoint)
 	}
@@ -111,13 +119,17 @@
 		usable = p.near(now, r, order, anyEndpoint)
 	}
 	wait := maxRetryAfter
+	var best *Choice
 	for i := range usable {
 		c := &usable[i]
 		wait = min(wait, c.Wait+c.Expected/2)
-		if c.Expected <= r.AimLeft && (i == 0 || c.Wait == 0) {
-			return c, nil
+		if c.Expected <= r.AimLeft && (i == 0 || c.Wait == 0) && (best == nil || c.Expected < best.Expected) {
+			best = c
 		}
 	}
+	if best != nil {
+		return best, nil
+	}
 	for i := range usable {
 		if c := &usable[i]; c.Wait <= c.Expected/2 && c.Expected <= r.Left {
 			return c, nil
@@ -140,7 +152,7 @@
 		if !fits(o.e) || !p.usable(now, r, o.e) {
 			continue
 		}
-		near = append(near, p.estimate(now, r, o.e, rank))
+		near = append(near, p.estimate(now, r, o, rank))
 		if len(near) == nearRanks {
 			break
 		}
@@ -165,16 +177,17 @@
 }
 
 // estimate returns what a request is expected to meet at an endpoint.
-func (p *Pool) estimate(now time.Time, r *Request, e *endpoint, rank int) Choice {
+func (p *Pool) estimate(now time.Time, r *Request, o ranked, rank int) Choice {
+	e := o.e
 	warm, cold, mean := p.workOf(r.Route).times()
 	key := objectKey(r)
 	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key}
 	c.Warm = r.Affinity != "" && e.warm.has(now, key)
 	run := cold
-	if c.Warm || r.Affinity != "" && rank == 0 {
+	if c.Warm || r.Affinity != "" && o.first {
 		run = warm
 	}
-	slow := e.slowness(now)
+	slow := e.slowness(now, p.slow(now))
 	ahead := max(c.Load+1-float64(e.Slots), 0)
 	c.Wait = time.Duration(ahead / float64(e.Slots) * float64(mean) * slow)
 	c.Expected = c.Wait + time.Duration(float64(run)*slow) + p.distance(e)
@@ -207,33 +220,64 @@
 // object first. The objects of a region are divided between its own endpoints
 // and others by [Pool.localShare], so that a region which lacks endpoints sends
 // always the same part elsewhere.
+//
+// Within the region each failure domain has an endpoint of its own for an
+// object, so that requests need not leave the domain and another one knows the
+// object too. They stand first, the own one before the others.
 func (p *Pool) rank(now time.Time, r *Request) []ranked {
 	share := p.localShare(now)
 	local := true
 	if r.Affinity != "" {
 		local = float64(objectKey(r)>>11)/(1<<53) < share
 	}
-	var order, rest []ranked
+	var own, region, rest []ranked
 	for _, e := range p.order {
 		if slices.Contains(r.Tried, e.ID) || len(r.Spec.Homes) > 0 && !slices.Contains(r.Spec.Homes, e.region) {
 			continue
 		}
-		o := ranked{e, weighted(r, e)}
-		if (e.region == p.cfg.Place.Region) == local {
-			order = append(order, o)
-		} else {
+		o := ranked{e: e, score: weighted(r, e)}
+		switch {
+		case e.Domain == p.cfg.Place.Domain:
+			own = append(own, o)
+		case e.region == p.cfg.Place.Region:
+			region = append(region, o)
+		default:
 			rest = append(rest, o)
 		}
 	}
-	byScore := func(a, b ranked) int {
-		if a.score > b.score {
-			return -1
+	for _, group := range [][]ranked{own, region, rest} {
+		slices.SortFunc(group, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+		if len(group) > 0 {
+			group[0].first = true
 		}
-		return 1
 	}
-	slices.SortFunc(order, byScore)
-	slices.SortFunc(rest, byScore)
-	return append(order, rest...)
+	near := p.order2(r, own, region)
+	if local {
+		return append(near, rest...)
+	}
+	return append(rest, near...)
+}
+
+func (p *Pool) order2(r *Request, own, region []ranked) []ranked {
+	if p.spread(r.Route) {
+		return interleave(own, region)
+	}
+	near := append(own, region...)
+	slices.SortFunc(near, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	for i := range near {
+		near[i].first = i == 0
+	}
+	return near
+}
+
+// interleave returns the elements of a and b by turns, as long as there are.
+func interleave(a, b []ranked) []ranked {
+	all := make([]ranked, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		all = append(all, a[min(i, len(a)):min(i+1, len(a))]...)
+		all = append(all, b[min(i, len(b)):min(i+1, len(b))]...)
+	}
+	return all
 }
 
 // weighted is the score of an endpoint for an object by weighted rendezvous
--- a/keelplace/load.go
+++ b/keelplace/load.go
@@ -52,15 +52,25 @@
 }
 
 // slowness returns how many times longer than usual requests take at an
-// endpoint.
-func (e *endpoint) slowness(now time.Time) float64 {
+// endpoint, if that is much longer than at the mean endpoint. Where all are slow
+// alike, it helps nobody to go elsewhere.
+func (e *endpoint) slowness(now time.Time, mean float64) float64 {
 	s := e.slowNow(now)
-	if s < slowFrom {
+	if s < slowFrom*max(mean, 1) {
 		return 1
 	}
 	return min(s, maxSlow)
 }
 
+// slow returns the mean of how many times longer than usual requests take.
+func (p *Pool) slow(now time.Time) float64 {
+	var sum float64
+	for _, e := range p.order {
+		sum += min(e.slowNow(now), maxSlow)
+	}
+	return sum / float64(max(len(p.order), 1))
+}
+
 const (
 	// failingFrom is the part of failed requests from which an endpoint counts
 	// as in trouble, if that is also failingTimes as much as the mean. Where all
@@ -70,8 +80,8 @@
 )
 
 // sound reports whether an endpoint is not in trouble.
-func (e *endpoint) sound(now time.Time, mean float64) bool {
-	return e.slowness(now) == 1 && e.failed(now) < max(failingFrom, failingTimes*mean)
+func (e *endpoint) sound(now time.Time, means means) bool {
+	return e.slowness(now, means.slow) == 1 && e.failed(now) < max(failingFrom, failingTimes*means.failing)
 }
 
 // failed returns the part of the latest requests that failed, as of now.
@@ -79,6 +89,11 @@
 	return e.failing * fading(now, e.failingAt, slowLife)
 }
 
+// means are what endpoints are compared with.
+type means struct{ slow, failing float64 }
+
+func (p *Pool) means(now time.Time) means { return means{p.slow(now), p.failing(now)} }
+
 // failing returns the mean part of requests that fail.
 func (p *Pool) failing(now time.Time) float64 {
 	var sum float64
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -73,6 +73,9 @@
 	// elsewhereFor is how long an endpoint is out of use whose address another
 	// one has. It will not come back there.
 	elsewhereFor = 5 * time.Second
+	// deadAfter is the time without any answer after which an endpoint counts
+	// as dead and not as overloaded. It is above the usual time limits.
+	deadAfter = 1500 * time.Millisecond
 )
 
 // Ended notes how a request ended that began at started.
@@ -82,7 +85,9 @@
 	case Answered:
 		p.finished()
 	case Late:
-		p.unfinished(now)
+		if e := p.endpoints[c.Endpoint.ID]; e != nil && now.Sub(e.answeredAt) < deadAfter {
+			p.unfinished(now)
+		}
 	}
 	e := p.endpoints[c.Endpoint.ID]
 	if e == nil || e.Born != c.Endpoint.Born {
--- a/keelplace/share.go
+++ b/keelplace/share.go
@@ -8,6 +8,9 @@
 	// aimedUse is the part of its own endpoints' slots that a region fills
 	// before it sends requests elsewhere. More leaves no room for bursts.
 	aimedUse = 0.6
+	// fullUse is the part of the slots in use from which other regions count as
+	// full.
+	fullUse = 0.75
 	// shiftPart is the part of the bound on shifts that is used up, so that
 	// requests which leave their endpoint for other reasons fit beside it.
 	shiftPart = 0.5
@@ -43,14 +46,29 @@
 	if need := p.need(now) * float64(p.room.near); need > 0 {
 		want = min(aimedUse*float64(own)/need, 1)
 	}
-	// When all are full, leaving helps nobody.
-	want = max(want, min(float64(own)*float64(regions)/float64(all), 1))
+	if use, known := p.useElsewhere(now); known && use > fullUse {
+		// When all are full, leaving helps nobody.
+		want = max(want, min(float64(own)*float64(regions)/float64(all), 1))
+	}
 	step := shiftPart * p.cfg.MaxShift * float64(now.Sub(p.local.at)) / float64(shiftWindow)
 	p.local.share += min(max(want-p.local.share, -step), step)
 	p.local.at = now
 	return p.local.share
 }
 
+// useElsewhere returns which part of the slots in other regions is in use, as far
+// as answers told of it lately.
+func (p *Pool) useElsewhere(now time.Time) (use float64, known bool) {
+	var load, slots float64
+	for _, e := range p.order {
+		if e.region != p.cfg.Place.Region && now.Sub(e.othersAt) < usualLife {
+			load += e.load(now)
+			slots += float64(e.Slots)
+		}
+	}
+	return load / max(slots, 1), slots > 0
+}
+
 // need returns the slots that this instance's requests need, as of now.
 func (p *Pool) need(now time.Time) float64 {
 	return p.local.need * max(0, 1-float64(now.Sub(p.local.needAt))/float64(2*rateTime))
