keelplace: the limit of an instance from those of its failure domain, halved by lost work

Change: the part is even for each failure domain and each instance in it, the start is twice that, and lost work halves the limit (a quarter less before).

--- a/keelplace/limit.go
+++ b/keelplace/limit.go
@@ -8,12 +8,12 @@
 	// limitBack is what is left of the limit after work ended unfinished, and
 	// limitPause the time in which that counts once: about as long as requests
 	// that were sent before take to end.
-	limitBack  = 0.75
+	limitBack  = 0.5
 	limitPause = 500 * time.Millisecond
 	// limitStart is how many times its even share of the slots an instance may
 	// use at first, and limitMost at most.
-	limitStart = 1.0
-	limitMost  = 3.0
+	limitStart = 2.0
+	limitMost  = 4.0
 )
 
 // limit bounds the requests that an instance has at the endpoints of a service.
@@ -26,9 +26,10 @@
 	backAt time.Time
 }
 
-// share is an instance's even part of all slots.
+// share is an instance's part of all slots: an even one for each failure domain
+// with callers, since each instance gets an even part of those of its domain.
 func (p *Pool) share() float64 {
-	return float64(p.room.all) / float64(p.room.senders)
+	return float64(p.room.all) / float64(p.room.domains*p.room.beside)
 }
 
 // mayTake reports whether one more request may be sent.
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -78,6 +78,9 @@
 	// regions is the number of regions with entry instances, senders that of
 	// entry instances, and near that of those in this region.
 	regions, senders, near int
+	// domains is the number of failure domains with entry instances, and beside
+	// that of entry instances in this one.
+	domains, beside int
 }
 
 func (p *Pool) countRoom() room {
@@ -88,14 +91,20 @@
 			r.own += e.Slots
 		}
 	}
-	seen := map[keel.RegionName]bool{p.cfg.Place.Region: true}
+	regions := map[keel.RegionName]bool{p.cfg.Place.Region: true}
+	domains := map[keel.DomainName]bool{p.cfg.Place.Domain: true}
 	for i := range p.nodes {
-		seen[p.nodes[i].Region] = true
-		if p.nodes[i].Region == p.cfg.Place.Region {
+		n := &p.nodes[i]
+		regions[n.Region], domains[n.Domain] = true, true
+		if n.Region == p.cfg.Place.Region {
 			r.near++
 		}
+		if n.Domain == p.cfg.Place.Domain {
+			r.beside++
+		}
 	}
-	r.regions, r.near = len(seen), max(r.near, 1)
+	r.regions, r.domains = len(regions), len(domains)
+	r.near, r.beside = max(r.near, 1), max(r.beside, 1)
 	return r
 }
 
