keelentry: a caller that an endpoint with room turned away may come back at once

The bound on second tries allows for less than half of them, and the callers were told to wait 0.1 s to 1 s, past their aim. Change: Retry-After of 10 ms then. TestRetryAfter fails without it.

--- a/keelentry/try.go
+++ b/keelentry/try.go
@@ -34,6 +34,8 @@
 	outcomes    []string
 	// last is the choice of the last attempt.
 	last keelplace.Choice
+	// shed says that the last attempt was turned away by an endpoint with room.
+	shed bool
 	// waited is how long the caller had waited before this try.
 	waited time.Duration
 }
@@ -83,7 +85,7 @@
 	for {
 		c, refused := t.choose(now, last != nil)
 		if refused != nil {
-			return nil, t.refuse(last, refused)
+			return nil, t.refuse(now, last, refused)
 		}
 		a, refusal, again := t.send(ctx, now, c)
 		if refusal == nil {
@@ -97,9 +99,17 @@
 	}
 }
 
+// againWait is the advised wait after an endpoint with room turned a request
+// away. There is nothing to wait for, and the caller may still meet its aim.
+const againWait = 10 * time.Millisecond
+
 // advise tells a caller whose request has not run when to come back.
 func (t *try) advise(now time.Time, refusal *keel.Refusal) *keel.Refusal {
-	if refusal.Verdict == keel.NotRun && refusal.RetryAfter == 0 {
+	switch {
+	case refusal.Verdict != keel.NotRun || refusal.RetryAfter != 0:
+	case t.shed:
+		refusal.RetryAfter = keel.Duration(againWait)
+	default:
 		t.with(now, func(p *keelplace.Pool) { refusal.RetryAfter = keel.Duration(p.Wait(t.route)) })
 	}
 	return refusal
@@ -144,12 +154,9 @@
 
 // refuse is the refusal of a request that no endpoint can take, after an attempt
 // that ended with last.
-func (t *try) refuse(last *keel.Refusal, refused *keelplace.Refused) *keel.Refusal {
+func (t *try) refuse(now time.Time, last *keel.Refusal, refused *keelplace.Refused) *keel.Refusal {
 	if last != nil {
-		if last.Verdict == keel.NotRun && last.RetryAfter == 0 {
-			last.RetryAfter = keel.Duration(refused.RetryAfter)
-		}
-		return last
+		return t.advise(now, last)
 	}
 	return keel.Refuse(keel.NotRun, refused.Reason, refused.RetryAfter, "service %s: %s", t.request.Service, refused.Detail)
 }
@@ -181,7 +188,8 @@
 	o.Took = end.Sub(now)
 	t.outcomes = append(t.outcomes, o.Kind.String())
 	t.with(end, func(p *keelplace.Pool) { p.Ended(end, now, t.route, c, o) })
-	if o.Kind != keelplace.Shed || o.Report.Full() {
+	t.shed = o.Kind == keelplace.Shed && !o.Report.Full()
+	if !t.shed {
 		// One that turned the request away though it has room may well take it
 		// the next time, and knows its object.
 		t.tried = append(t.tried, e.ID)
