keelplace: an expected time is always a time

Requests that were answered sooner than they were expected to wait had worked for 0 ms, so that the next ratio of two times was 0/0; it stayed so until the endpoint restarted. Change: the time of a request is compared with what was expected as a whole, and its work is measured only if it hardly waited. Test: TestAnsweredSoonerThanExpected, failed before.

--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -76,6 +76,9 @@
 	// elsewhereFor is how long an endpoint is out of use whose address another
 	// one has. It will not come back there.
 	elsewhereFor = 5 * time.Second
+	// maxWaitPart is which part of its time a request may have waited, by the
+	// guess at its choice, for its work to be measured: a guess is off by half.
+	maxWaitPart = 4
 	// deadAfter is the time without any answer after which an endpoint counts
 	// as dead and not as overloaded. It is above the usual time limits.
 	deadAfter = 1500 * time.Millisecond
@@ -128,20 +131,24 @@
 	if c.Warm {
 		usual = warm
 	}
-	run := max(o.Took-c.Wait, 0)
+	ratio := float64(o.Took) / float64(max(usual+c.Wait, time.Millisecond))
 	if o.Kind == Late {
-		e.took(now, float64(run)/float64(usual))
+		e.took(now, ratio)
 	}
 	if o.Kind != Answered || o.Failed {
 		return
 	}
 	e.warm.add(now, c.key)
-	e.took(now, float64(run)/float64(usual))
-	w.all.add(float64(run))
+	e.took(now, ratio)
+	if c.Wait > o.Took/maxWaitPart {
+		return // how long it waited is a guess, and so is how long it ran
+	}
+	run := float64(o.Took - c.Wait)
+	w.all.add(run)
 	if c.Warm {
-		w.warm.add(float64(run))
+		w.warm.add(run)
 	} else {
-		w.cold.add(float64(run))
+		w.cold.add(run)
 	}
 }
 
--- /dev/null
+++ b/keelplace/outcome_test.go
@@ -0,0 +1,52 @@
+package keelplace_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelplace"
+	"github.com/greengagekeel/greengagekeel/keelworld"
+	"github.com/matryer/is"
+)
+
+// The first requests on a route are answered sooner than they were expected to
+// wait. What is expected of the endpoint afterwards is a time all the same.
+func TestAnsweredSoonerThanExpected(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := keelworld.NewState()
+	s.Apply(1, &keelworld.Command{Endpoints: []keelworld.Endpoint{{
+		ID: "e", Born: 1, Sequence: 1, State: keelworld.EndpointServing, Service: "s", Domain: "d",
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2,
+	}}})
+	p := keelplace.NewPool(keelplace.Config{Place: keelplace.Place{Domain: "d", Region: "r"}, Region: regionR}, "s")
+	p.Update(now, s.View(), nil)
+	r := &keelplace.Request{Route: "x", Spec: &keelworld.Route{Affinity: true}, Affinity: "1", Left: time.Second, AimLeft: time.Second}
+	choose := func() *keelplace.Choice {
+		c, refused := p.Choose(now, r)
+		if refused != nil {
+			t.Fatalf("refused: %s", refused.Detail)
+		}
+		is.True(c.Wait >= 0)
+		is.True(c.Expected > 0)
+		return c
+	}
+	for range 3 {
+		var all []*keelplace.Choice
+		started := now
+		for range 4 { // two wait, as it seems
+			c := choose()
+			p.Started(now, c)
+			all = append(all, c)
+		}
+		for _, c := range slices.Backward(all) {
+			now = now.Add(time.Millisecond)
+			p.Ended(now, started, "x", c, keelplace.Outcome{Kind: keelplace.Answered, Took: now.Sub(started)})
+		}
+	}
+}
+
+func regionR(keel.DomainName) keel.RegionName { return "r" }
