keelexplain, keelcommand: the story of one request; logs quote no bytes of endpoints

A test that looks for secrets in log lines found that an answer which can't be read was quoted in the line of its request, which may be a part of another caller's answer. The logged status was that of the reason, not the one that was sent. A wrong log_level of steer was passed over. Change: greengagekeel explain; errors of the library that quote bytes are replaced; the status that is sent is logged; log_level is checked.

--- a/keelcommand/command.go
+++ b/keelcommand/command.go
@@ -97,7 +97,7 @@
 			newSteer(stdout),
 			serveCommand(), checkCommand(), applyCommand(), diffCommand(), getCommand(),
 			lookupCommand(), dumpCommand(), keysCommand(), verifyCommand(), standInCommand(),
-			demoCommand(), versionCommand(),
+			demoCommand(), explainCommand(), versionCommand(),
 		},
 	}
 }
--- a/keelcommand/steer.go
+++ b/keelcommand/steer.go
@@ -62,7 +62,7 @@
 	logger := logrus.New()
 	logger.SetOutput(out)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	if level, err := logrus.ParseLevel(s.LogLevel); err == nil && s.LogLevel != "" {
+	if level, err := logrus.ParseLevel(s.LogLevel); err == nil { // empty means the default; else it was checked
 		logger.SetLevel(level)
 	}
 	log := logger.WithField("instance", s.Name)
@@ -101,7 +101,7 @@
 func newSteered(s *keelconfig.Steer, log *logrus.Entry) (steered, error) {
 	if s.Role == keelconfig.RoleEntry {
 		return keelrole.NewEntry(keelrole.EntryConfig{
-			Settings: s, Log: log, Dialect: keelplatform.Dialect, Read: keelplatform.ReadFacts,
+			Settings: s, Log: log, Dialect: keelplatform.Dialect, Read: keelplatform.ReadFacts, Status: keelplatform.StatusOf,
 			App: func(in *keelrole.Entry) *fiber.App { return keelplatform.NewDirectoryApp(in) },
 		})
 	}
--- a/keelconfig/steer.go
+++ b/keelconfig/steer.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -125,6 +126,9 @@
 // Check reports every fault of the settings.
 func (s *Steer) Check() keel.Faults {
 	fs := keel.CheckName("name", s.Name)
+	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
+		fs.Add("log_level", "is %q, must be one of %q", s.LogLevel, logLevels)
+	}
 	if s.Domain == "" || s.Region == "" {
 		fs.Add("domain", "failure domain and region must not be empty")
 	}
--- a/keelconfig/steer_test.go
+++ b/keelconfig/steer_test.go
@@ -20,6 +20,7 @@
 
 func TestLoadSteer(t *testing.T) {
 	tests := []struct{ name, old, new, field string }{
+		{"log level", `{"name"`, `{"log_level":"loud","name"`, "log_level"},
 		{"good", "", "", ""},
 		{"unknown role", `"entry"`, `"guest"`, "role"},
 		{"no trust named", `"unverified"`, `""`, "peer_trust"},
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -25,6 +25,8 @@
 	Client *keelproxy.EndpointClient
 	// Read reads what an answer says beside its body.
 	Read func(a *keelproxy.Answer) Facts
+	// Status returns the status with which a refusal is answered.
+	Status func(*keel.Refusal) int
 	// Budget bounds the requests that are sent to a second endpoint.
 	Budget keelplace.Budget
 	Log    *logrus.Entry
--- a/keelentry/try.go
+++ b/keelentry/try.go
@@ -296,7 +296,7 @@
 
 // end logs the end of a request that is refused.
 func (t *try) end(refusal *keel.Refusal) error {
-	t.log(refusal.Reason.Status(), refusal)
+	t.log(t.runner.cfg.Status(refusal), refusal)
 	return refusal
 }
 
--- /dev/null
+++ b/keelexplain/doc.go
@@ -0,0 +1,3 @@
+// Package keelexplain tells the story of one request from the log lines of all
+// processes.
+package keelexplain
--- a/keelproxy/answerread.go
+++ b/keelproxy/answerread.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net"
+	"os"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -59,7 +61,7 @@
 func (conn *endpointConn) readHeader(resp *fasthttp.Response) error {
 	for {
 		if err := resp.Header.Read(conn.r); err != nil {
-			return err
+			return withoutBytes(err)
 		}
 		if resp.StatusCode() >= fasthttp.StatusOK {
 			break
@@ -72,7 +74,29 @@
 	if resp.SkipBody || !hasBodyStatus(resp.StatusCode()) || unframed(resp) {
 		return nil
 	}
-	return resp.ReadBody(conn.r, 0)
+	if err := resp.ReadBody(conn.r, 0); err != nil {
+		return withoutBytes(err)
+	}
+	return nil
+}
+
+// errMalformed stands for an error of the library that quotes what it could not
+// read. That may be a part of another caller's answer, which must not be logged.
+var errMalformed = errors.New("the answer is malformed")
+
+// withoutBytes returns an error of the connection as it is, and for any other
+// one [errMalformed].
+func withoutBytes(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return err
+	}
+	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded, net.ErrClosed, fasthttp.ErrTimeout} {
+		if errors.Is(err, known) {
+			return err
+		}
+	}
+	return errMalformed
 }
 
 // passOver reads the body of an answer that nobody waits for.
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -29,6 +29,8 @@
 	Dialect *keelproxy.Dialect
 	// Read reads what an answer of an endpoint says beside its body.
 	Read func(*keelproxy.Answer) keelentry.Facts
+	// Status returns the status with which a refusal is answered.
+	Status func(*keel.Refusal) int
 	// App makes the server of look-ups and readiness.
 	App func(*Entry) *fiber.App
 	Log *logrus.Entry
@@ -96,7 +98,7 @@
 			Self: selfName(s), Place: keelplace.Place{Domain: s.Domain, Region: s.Region}, Region: s.RegionOf,
 			MaxShift: s.Bounds.MaxShift,
 		},
-		View: in.follower.View, Age: in.follower.Age, Client: in.client, Read: cfg.Read,
+		View: in.follower.View, Age: in.follower.Age, Client: in.client, Read: cfg.Read, Status: cfg.Status,
 		Budget: keelplace.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Log:    cfg.Log,
 	})
