keelplace: an object whose work was lost at an endpoint counts as not known there

Change: an object whose request was late at an endpoint is expected to be slow there for 3 s or until it is answered, so that it is sent only where it can end.

--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -185,9 +185,10 @@
 	warm, cold, mean := p.workOf(r.Route).times()
 	key := objectKey(r)
 	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key}
-	c.Warm = r.Affinity != "" && e.warm.has(now, key)
+	c.Warm = r.Affinity != "" && e.warm.has(now, key, warmFor)
+	missed := e.missed.has(now, key, missedFor)
 	run := cold
-	if c.Warm || r.Affinity != "" && o.first {
+	if !missed && (c.Warm || r.Affinity != "" && o.first) {
 		run = warm
 	}
 	slow := e.slowness(now, p.slow(now))
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -134,11 +134,13 @@
 	ratio := float64(o.Took) / float64(max(usual+c.Wait, time.Millisecond))
 	if o.Kind == Late {
 		e.took(now, ratio)
+		e.missed.add(now, c.key)
 	}
 	if o.Kind != Answered || o.Failed {
 		return
 	}
 	e.warm.add(now, c.key)
+	e.missed.remove(c.key)
 	e.took(now, ratio)
 	if c.Wait > o.Took/maxWaitPart {
 		return // how long it waited is a guess, and so is how long it ran
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -71,7 +71,9 @@
 	doubted   bool
 	coldUntil time.Time
 	pace      pace
-	warm      warmSet
+	// warm are the objects that the endpoint answered to this instance, missed
+	// those whose work was lost there since.
+	warm, missed objectSet
 }
 
 // room is what the endpoints and instances of a view come to.
--- a/keelplace/warm.go
+++ b/keelplace/warm.go
@@ -7,19 +7,25 @@
 	warmKeys = 24
 	// warmFor is how long it is taken to remember an object.
 	warmFor = 20 * time.Second
+	// missedFor is how long it is taken not to know an object whose work was
+	// lost there. Others may have taught it since; one run is enough.
+	missedFor = 3 * time.Second
 )
 
-// warmSet are the objects that this instance has sent to an endpoint lately.
-type warmSet struct {
+// objectSet are objects that were noted of an endpoint lately.
+type objectSet struct {
 	at map[uint64]time.Time
 }
 
-func (w *warmSet) has(now time.Time, key uint64) bool {
+// has reports whether an object was noted in the last d.
+func (w *objectSet) has(now time.Time, key uint64, d time.Duration) bool {
 	at, ok := w.at[key]
-	return ok && now.Sub(at) < warmFor
+	return ok && now.Sub(at) < d
 }
 
-func (w *warmSet) add(now time.Time, key uint64) {
+func (w *objectSet) remove(key uint64) { delete(w.at, key) }
+
+func (w *objectSet) add(now time.Time, key uint64) {
 	if w.at == nil {
 		w.at = map[uint64]time.Time{}
 	}
