--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -51,8 +51,6 @@
 	Detail string
 }
 
-var spreadAll = false
-
 const (
 	// unknownWork is the expected time of a request before any has been seen.
 	unknownWork = 300 * time.Millisecond
@@ -82,15 +80,10 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-func (p *Pool) spread(route string) bool { return spreadAll }
-
 // ranked is an endpoint with its rank for an object.
 type ranked struct {
 	e     *endpoint
 	score float64
-	// first says that the endpoint is the one for the object in its failure
-	// domain or beyond the region.
-	first bool
 }
 
 // Choose returns the endpoint for a request, or refuses one that no endpoint can
@@ -155,7 +148,7 @@
 		if !fits(o.e) || !p.usable(now, r, o.e) {
 			continue
 		}
-		near = append(near, p.estimate(now, r, o, rank))
+		near = append(near, p.estimate(now, r, o.e, rank))
 		if len(near) == nearRanks {
 			break
 		}
@@ -180,15 +173,14 @@
 }
 
 // estimate returns what a request is expected to meet at an endpoint.
-func (p *Pool) estimate(now time.Time, r *Request, o ranked, rank int) Choice {
-	e := o.e
+func (p *Pool) estimate(now time.Time, r *Request, e *endpoint, rank int) Choice {
 	warm, cold, mean := p.workOf(r.Route).times()
 	key := objectKey(r)
 	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key}
 	c.Warm = r.Affinity != "" && e.warm.has(now, key, warmFor)
 	missed := e.missed.has(now, key, missedFor)
 	run := cold
-	if !missed && (c.Warm || r.Affinity != "" && o.first) {
+	if !missed && (c.Warm || r.Affinity != "" && rank == 0) {
 		run = warm
 	}
 	slow := e.slowness(now, p.slow(now))
@@ -233,64 +225,28 @@
 // object first. The objects of a region are divided between its own endpoints
 // and others by [Pool.localShare], so that a region which lacks endpoints sends
 // always the same part elsewhere.
-//
-// Within the region each failure domain has an endpoint of its own for an
-// object, so that requests need not leave the domain and another one knows the
-// object too. They stand first, the own one before the others.
 func (p *Pool) rank(now time.Time, r *Request) []ranked {
 	share := p.localShare(now)
 	local := true
 	if r.Affinity != "" {
 		local = float64(objectKey(r)>>11)/(1<<53) < share
 	}
-	var own, region, rest []ranked
+	var order, rest []ranked
 	for _, e := range p.order {
 		if slices.Contains(r.Tried, e.ID) || len(r.Spec.Homes) > 0 && !slices.Contains(r.Spec.Homes, e.region) {
 			continue
 		}
-		o := ranked{e: e, score: weighted(r, e)}
-		switch {
-		case e.Domain == p.cfg.Place.Domain:
-			own = append(own, o)
-		case e.region == p.cfg.Place.Region:
-			region = append(region, o)
-		default:
+		o := ranked{e, weighted(r, e)}
+		if (e.region == p.cfg.Place.Region) == local {
+			order = append(order, o)
+		} else {
 			rest = append(rest, o)
 		}
 	}
-	for _, group := range [][]ranked{own, region, rest} {
-		slices.SortFunc(group, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-		if len(group) > 0 {
-			group[0].first = true
-		}
-	}
-	near := p.order2(r, own, region)
-	if local {
-		return append(near, rest...)
-	}
-	return append(rest, near...)
-}
-
-func (p *Pool) order2(r *Request, own, region []ranked) []ranked {
-	if p.spread(r.Route) {
-		return interleave(own, region)
-	}
-	near := append(own, region...)
-	slices.SortFunc(near, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	for i := range near {
-		near[i].first = i == 0
-	}
-	return near
-}
-
-// interleave returns the elements of a and b by turns, as long as there are.
-func interleave(a, b []ranked) []ranked {
-	all := make([]ranked, 0, len(a)+len(b))
-	for i := range max(len(a), len(b)) {
-		all = append(all, a[min(i, len(a)):min(i+1, len(a))]...)
-		all = append(all, b[min(i, len(b)):min(i+1, len(b))]...)
-	}
-	return all
+	byScore := func(a, b ranked) int { return cmp.Compare(b.score, a.score) }
+	slices.SortFunc(order, byScore)
+	slices.SortFunc(rest, byScore)
+	return append(order, rest...)
 }
 
 // weighted is the score of an endpoint for an object by weighted rendezvous
