keelsync: a wish to join is passed on to the leader

New voters asked their seeds, none of which led, and these dropped it. Ruled out: a join that waits for another one; the stored state, which only showed what would have been refusals before. Change: a voter that does not lead passes it on once. Test: TestJoinByFollowers, failed before.

--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -38,6 +38,7 @@
 	instances map[string]*instance
 	endpoints map[string]*endpoint
 	loads     map[string]*load
+	proxies   map[string]*proxy
 	// keys is the folder of keys, below dir.
 	keys string
 	// order lists the instances as they were declared.
@@ -86,6 +87,8 @@
 		"cutrest":   {cmdCutRest, "INSTANCE", 1},
 		"mute":      {cmdMute, "INSTANCE", 1},
 		"heal":      {cmdHeal, "", 0},
+		"proxy":     {cmdProxy, "NAME INSTANCE", 2},
+		"degrade":   {cmdDegrade, "PROXY pass|delay|reset|silence|oneway [DURATION]", 2},
 		"erase":     {cmdErase, "INSTANCE", 1},
 		"endpoint":  {cmdEndpoint, "NAME SERVICE DOMAIN [slots=N] [ttl=DURATION]", 3},
 		"behave":    {cmdBehave, "ENDPOINT JSON", 2},
@@ -147,6 +150,7 @@
 		instances: map[string]*instance{},
 		endpoints: map[string]*endpoint{},
 		loads:     map[string]*load{},
+		proxies:   map[string]*proxy{},
 		ctx:       ctx,
 	}
 	env.Values[clusterKey{}] = c
--- a/keelscenario/traffic.go
+++ b/keelscenario/traffic.go
@@ -88,6 +88,10 @@
 func (c *cluster) callerAddresses(names string) []netip.AddrPort {
 	var out []netip.AddrPort
 	for name := range strings.SplitSeq(names, ",") {
+		if p := c.proxies[name]; p != nil {
+			out = append(out, p.addr())
+			continue
+		}
 		out = append(out, c.instance(name).listen.Caller)
 	}
 	return out
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -64,7 +64,14 @@
 	Nodes     []keel.InstanceName `cbor:"2,keyasint,omitempty"`
 	// Join asks to make the sender a voter.
 	Join bool `cbor:"3,keyasint,omitempty"`
+	// For names the instance that asks to join, if the sender passes that on.
+	For keel.InstanceName `cbor:"4,keyasint,omitempty"`
 }
 
-// Check reports nothing: unknown names are passed over.
-func (*heardMessage) Check() keel.Faults { return nil }
+// Check reports a name that is none. Unknown names are passed over.
+func (m *heardMessage) Check() keel.Faults {
+	if m.For == "" {
+		return nil
+	}
+	return keel.CheckName("for", m.For)
+}
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -259,6 +259,31 @@
 	is.Equal(w.versionOf(old, "a"), keelworld.Version(3))
 }
 
+// A new instance joins though none of its seeds leads: they pass its wish on.
+func TestJoinByFollowers(t *testing.T) {
+	is := is.New(t)
+	w, voters := grow(t)
+	leader := ""
+	w.until("a leader", func() bool {
+		for name, v := range voters {
+			if v.Status().LeaseValid {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	w.seeds = nil
+	for _, name := range names {
+		if name != leader && len(w.seeds) < 3 {
+			w.seeds = append(w.seeds, netip.MustParseAddr(name))
+		}
+	}
+	v := w.voter("10.0.0.7", "d0", false)
+	w.until("it votes", func() bool { return voting(v) == len(names)+1 })
+	is.Equal(string(v.Status().Leader), leader) // which did not change meanwhile
+}
+
 // A voter that reaches no other can't acknowledge that an endpoint leaves, also
 // if it has never heard of that endpoint.
 func TestLeaveAtVoterCutOff(t *testing.T) {
--- a/keelsync/tend.go
+++ b/keelsync/tend.go
@@ -77,7 +77,11 @@
 			targets = append(targets, o.Name)
 		}
 	}
-	body, err := keel.EncodeCBOR(&m)
+	v.sendHeard(ctx, targets, &m)
+}
+
+func (v *Voter) sendHeard(ctx context.Context, targets []keel.InstanceName, m *heardMessage) {
+	body, err := keel.EncodeCBOR(m)
 	if err != nil {
 		v.cfg.Log.WithError(err).Error("report to the leader not encoded")
 		return
@@ -93,8 +97,7 @@
 	}
 }
 
-// handleHeard takes the report of another voter. A voter that does not lead
-// passes it on once.
+// handleHeard takes the report of another voter, or its wish to join.
 func (v *Voter) handleHeard(ctx context.Context, e keel.Envelope) (keel.Envelope, error) {
 	var m heardMessage
 	if err := keel.DecodeCBOR(e.Body, &m); err != nil {
@@ -106,16 +109,33 @@
 	for _, name := range m.Nodes {
 		v.heard.node(name)
 	}
-	if m.Join {
-		return keel.Envelope{}, v.admit(ctx, e.From)
+	if !m.Join {
+		return keel.Envelope{}, nil
+	}
+	joining := e.From
+	if m.For != "" {
+		joining = m.For
 	}
-	return keel.Envelope{}, nil
+	return keel.Envelope{}, v.join(ctx, joining, m.For != "")
 }
 
-// admit lets an instance join the voters if this one leads.
-func (v *Voter) admit(ctx context.Context, name keel.InstanceName) error {
+// join lets an instance join the voters if this one leads, and else tells the
+// leader, whom the instance may not know: its seeds need not lead. What was
+// passed on already is not passed on again.
+func (v *Voter) join(ctx context.Context, name keel.InstanceName, passedOn bool) error {
 	st := v.node.Status()
-	if st.Role != string(keelquorum.RoleLeader) || slices.ContainsFunc(st.Voters, func(o keel.Voter) bool { return o.Name == name && !o.Learner }) {
+	if st.Role == string(keelquorum.RoleLeader) {
+		return v.admit(ctx, &st, name)
+	}
+	if st.Leader != "" && st.Leader != name && !passedOn {
+		v.sendHeard(ctx, []keel.InstanceName{st.Leader}, &heardMessage{Join: true, For: name})
+	}
+	return nil
+}
+
+// admit lets an instance join the voters.
+func (v *Voter) admit(ctx context.Context, st *keelquorum.Status, name keel.InstanceName) error {
+	if slices.ContainsFunc(st.Voters, func(o keel.Voter) bool { return o.Name == name && !o.Learner }) {
 		return nil
 	}
 	if _, err := netip.ParseAddr(string(name)); err != nil {
