keelsoak, scenario: scripts of random faults over real processes

A soak writes a script for a seed: processes are killed, stopped in order and paused by signals, callers' connections go through loopback proxies that delay, reset, silence and cut them one way, instances are cut off, endpoints misbehave, and the configuration changes; faults overlap. At the end all must work again, no answer is wrong and no caller was told an untruth.

--- a/keelsoak/script.go
+++ b/keelsoak/script.go
@@ -64,6 +64,9 @@
 // kind is one kind of fault.
 type kind struct {
 	name string
+	// alone keeps it from overlapping with others that are alone: a paused
+	// process can't be told of cuts.
+	alone bool
 	// targets are what it may hit; two faults never hit the same.
 	targets []string
 	// begin and end write the commands.
@@ -109,6 +112,9 @@
 // strike begins a fault on something that no other one hits.
 func (w *writer) strike() {
 	k := kinds[w.random.IntN(len(kinds))]
+	if k.alone && slices.ContainsFunc(w.open, func(f *fault) bool { return f.kind.alone }) {
+		return
+	}
 	var free []string
 	for _, t := range k.targets {
 		if w.allowed(t) {
