keelinstance, scenario: requests during the hand-over of a planned stop are answered

Change: the stop waits for requests once more after the hand-over; the log of a process that ended shows its panic; dumps of paused processes are given up.

--- a/keelinstance/stop.go
+++ b/keelinstance/stop.go
@@ -35,6 +35,7 @@
 	_ = in.ports.caller.Close() // no new connections; open ones end after their request
 	in.waitRequests(ctx)
 	in.handOver(ctx)
+	in.waitRequests(ctx) // callers use open connections until they are closed
 	cut := int(in.front.InFlight())
 	in.log.WithFields(logrus.Fields{
 		"drain_ms": time.Since(start).Milliseconds(), "cut": cut,
--- a/keelscenario/language.go
+++ b/keelscenario/language.go
@@ -20,6 +20,9 @@
 // WaitLimit is how long a command waits for a state before it fails.
 const WaitLimit = 30 * time.Second
 
+// dumpLimit is how long the dump of an instance may take after a failure.
+const dumpLimit = 2 * time.Second
+
 // pollInterval is the pause between two looks at a state.
 const pollInterval = 20 * time.Millisecond
 
@@ -226,7 +229,10 @@
 // the log of the script, so that a failure can be traced.
 func (c *cluster) logDumps() {
 	for _, in := range c.running() {
-		doc, err := c.client(in).Dump(c.ctx)
+		// A paused process answers nothing.
+		ctx, cancel := context.WithTimeout(c.ctx, dumpLimit)
+		doc, err := c.client(in).Dump(ctx)
+		cancel()
 		if err != nil {
 			c.ts.Logf("dump of %s: %v", in.name, err)
 			continue
--- a/keelscenario/process.go
+++ b/keelscenario/process.go
@@ -1,6 +1,7 @@
 package keelscenario
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"os/exec"
@@ -61,13 +62,16 @@
 	return p.err
 }
 
-// tail returns the end of the process's log.
+// tail returns the end of the process's log, or what it says of a panic.
 func (p *process) tail() string {
 	const tailBytes = 2000
 	data, err := os.ReadFile(p.logFile)
 	if err != nil {
 		return err.Error()
 	}
+	if i := bytes.LastIndex(data, []byte("\npanic: ")); i >= 0 {
+		return string(data[i:min(len(data), i+tailBytes)])
+	}
 	return string(data[max(0, len(data)-tailBytes):])
 }
 
