--- a/keelentry/try.go
+++ b/keelentry/try.go
@@ -135,7 +135,7 @@
 			return
 		}
 		if again && !p.Spend(now, t.runner.cfg.Budget) {
-			c, refused = nil, &keelplace.Refused{Reason: keel.ReasonOverload, RetryAfter: time.Second, Detail: "the bound on second tries is reached"}
+			c, refused = nil, &keelplace.Refused{Reason: keel.ReasonOverload, Detail: "the bound on second tries is reached"}
 			return
 		}
 		p.Started(now, c)
--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -107,12 +107,12 @@
 	}
 	means := p.means(now)
 	few := order[:min(len(order), maxRank)]
-	usable := p.near(now, r, few, func(e *endpoint) bool { return e.sound(now, means) })
+	usable := p.near(now, r, few, means, func(e *endpoint) bool { return e.sound(now, means) })
 	if len(usable) == 0 {
-		usable = p.near(now, r, few, anyEndpoint)
+		usable = p.near(now, r, few, means, anyEndpoint)
 	}
 	if len(usable) == 0 {
-		usable = p.near(now, r, order, anyEndpoint)
+		usable = p.near(now, r, order, means, anyEndpoint)
 	}
 	wait := maxRetryAfter
 	var best *Choice
@@ -142,13 +142,13 @@
 
 // near returns the first endpoints in the order for an object that may get a
 // request now, of those that fit.
-func (p *Pool) near(now time.Time, r *Request, order []ranked, fits func(*endpoint) bool) []Choice {
+func (p *Pool) near(now time.Time, r *Request, order []ranked, means means, fits func(*endpoint) bool) []Choice {
 	var near []Choice
 	for rank, o := range order {
 		if !fits(o.e) || !p.usable(now, r, o.e) {
 			continue
 		}
-		near = append(near, p.estimate(now, r, o.e, rank))
+		near = append(near, p.estimate(now, r, o.e, rank, means.slow))
 		if len(near) == nearRanks {
 			break
 		}
@@ -173,7 +173,7 @@
 }
 
 // estimate returns what a request is expected to meet at an endpoint.
-func (p *Pool) estimate(now time.Time, r *Request, e *endpoint, rank int) Choice {
+func (p *Pool) estimate(now time.Time, r *Request, e *endpoint, rank int, meanSlow float64) Choice {
 	warm, cold, mean := p.workOf(r.Route).times()
 	key := objectKey(r)
 	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key}
@@ -183,7 +183,7 @@
 	if !missed && (c.Warm || r.Affinity != "" && rank == 0) {
 		run = warm
 	}
-	slow := e.slowness(now, p.slow(now))
+	slow := e.slowness(now, meanSlow)
 	ahead := max(c.Load+1-float64(e.Slots), 0)
 	c.Wait = time.Duration(ahead / float64(e.Slots) * float64(mean) * slow)
 	c.Expected = c.Wait + time.Duration(float64(run)*slow) + p.distance(e)
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -24,7 +24,7 @@
 // keptSeeds reads the seeds that once failed: a seed, a number of faults and the
 // cause in each line.
 func keptSeeds(t *testing.T) []keelsoak.Config {
-	f, err := os.Open("soak_seeds.txt")
+	f, err := os.Open("soak_seeds.list")
 	if err != nil {
 		t.Fatal(err)
 	}
