keelplace: one look-up for an outcome, use elsewhere only where it can matter

Read once more: the endpoint of an outcome was looked up twice, and the use of other regions was summed up at each choice, though it matters only if less than the even part would stay.

--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -87,15 +87,13 @@
 // Ended notes how a request ended that began at started.
 func (p *Pool) Ended(now, started time.Time, route string, c *Choice, o Outcome) {
 	p.inFlight = max(p.inFlight-1, 0)
-	switch o.Kind {
-	case Answered:
+	e := p.endpoints[c.Endpoint.ID]
+	switch {
+	case o.Kind == Answered:
 		p.finished()
-	case Late:
-		if e := p.endpoints[c.Endpoint.ID]; e != nil && now.Sub(e.answeredAt) < deadAfter {
-			p.unfinished(now)
-		}
+	case o.Kind == Late && e != nil && now.Sub(e.answeredAt) < deadAfter:
+		p.unfinished(now)
 	}
-	e := p.endpoints[c.Endpoint.ID]
 	if e == nil || e.Born != c.Endpoint.Born {
 		return
 	}
--- a/keelplace/share.go
+++ b/keelplace/share.go
@@ -46,9 +46,11 @@
 	if need := p.need(now) * float64(p.room.near); need > 0 {
 		want = min(aimedUse*float64(own)/need, 1)
 	}
-	if use, known := p.useElsewhere(now); known && use > fullUse {
+	if even := min(float64(own)*float64(regions)/float64(all), 1); want < even {
 		// When all are full, leaving helps nobody.
-		want = max(want, min(float64(own)*float64(regions)/float64(all), 1))
+		if use, known := p.useElsewhere(now); known && use > fullUse {
+			want = even
+		}
 	}
 	step := shiftPart * p.cfg.MaxShift * float64(now.Sub(p.local.at)) / float64(shiftWindow)
 	p.local.share += min(max(want-p.local.share, -step), step)
