keelsync, keelquorum: log lost contact, state sent, late loops and elections

Now a follower logs the loss and the return of contact with the voters, a voter what it sent to followers without a state, its late loop, and each election that it starts with the votes that the last one got. All are bounded to one line a second or one for each election.

--- a/keelquorum/core.go
+++ b/keelquorum/core.go
@@ -44,6 +44,8 @@
 	// votes are the incarnations of the instances that granted a vote or
 	// pre-vote.
 	votes map[keel.InstanceName]uint64
+	// preCampaigns counts the times that this instance requested pre-votes.
+	preCampaigns uint64
 	// contacts are the last contacts with other instances, by name.
 	contacts map[keel.InstanceName]*contact
 
@@ -342,6 +344,7 @@
 		Voters:      c.activeSet().voters,
 		LeaseValid:  c.isLeader() && now.Before(c.leaseUntil()),
 		HandingOver: c.lead.handOver.target != "",
-		leaseUntil:  c.leaseUntil(),
+		Elections:   c.preCampaigns, Votes: len(c.votes),
+		leaseUntil: c.leaseUntil(),
 	}
 }
--- a/keelquorum/election.go
+++ b/keelquorum/election.go
@@ -13,6 +13,7 @@
 // without disturbing a leader that others still follow.
 func (c *Core) preCampaign() {
 	c.fire(eventTimeout)
+	c.preCampaigns++
 	c.leader = ""
 	c.resetTimer()
 	c.votes = map[keel.InstanceName]uint64{c.cfg.Self: c.incarnation}
--- a/keelquorum/node.go
+++ b/keelquorum/node.go
@@ -116,7 +116,11 @@
 	waiters map[uint64][]waiter
 	// watchers wait for a state of the core. Only the loop uses them.
 	watchers []watcher
-	role     string
+	// role, elections and votes are those of the status that was published last.
+	role      string
+	elections uint64
+	votes     int
+	lateness  lateness
 }
 
 // loopCall is run by the loop that owns the core. It receives a zero time if the
@@ -216,6 +220,7 @@
 		}
 		n.processPending()
 		now := time.Now()
+		n.reportLateness(now)
 		n.core.Tick(now)
 		err := n.executeActions()
 		n.checkWatchers(now)
@@ -344,7 +349,10 @@
 	if st.Role != n.role && (st.Role == string(RoleLeader) || n.role == string(RoleLeader)) {
 		n.cfg.Log.WithFields(logrus.Fields{"term": st.Term, "role": st.Role}).Info("leadership changed")
 	}
-	n.role = st.Role
+	if st.Elections != n.elections {
+		n.cfg.Log.WithFields(logrus.Fields{"term": st.Term, "last": st.Last, "lost_votes": n.votes, "voters": len(st.Voters)}).Info("election started")
+	}
+	n.role, n.elections, n.votes = st.Role, st.Elections, st.Votes
 }
 
 // Status returns the state of the node. The validity of the lease is that at the
--- a/keelquorum/status.go
+++ b/keelquorum/status.go
@@ -30,6 +30,11 @@
 	// HandingOver means that the leader rejects proposals because it is handing
 	// over the leadership.
 	HandingOver bool `json:"handing_over,omitempty"`
+	// Elections is how often this instance has requested pre-votes since it
+	// started. Votes is the number of pre-votes or votes in the current election,
+	// with its own.
+	Elections uint64 `json:"elections,omitempty"`
+	Votes     int    `json:"votes,omitempty"`
 	// StorageFailure is the error after which the instance stopped voting.
 	StorageFailure string `json:"storage_failure,omitempty"`
 
--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -18,6 +18,9 @@
 	v.recordNode(r.Node)
 	a := v.feed(ctx, &r)
 	body, err := keel.EncodeCBOR(a)
+	if a.Snapshot != nil {
+		v.sent.addSnapshot(len(body))
+	}
 	return keel.Envelope{Kind: keel.KindFeed, Body: body}, err
 }
 
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -66,6 +66,8 @@
 	voters []keelworld.Node
 	// failedAt is when the last poll of a voter failed or returned a stale answer.
 	failedAt map[keel.InstanceName]time.Time
+	// contact is the contact with the voters as logged last. Only Run uses it.
+	contact contactLog
 	// cancelPoll cancels the current poll, so that the next one carries a change
 	// of self.
 	cancelPoll context.CancelFunc
@@ -110,7 +112,9 @@
 // Run polls the voters until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+		err := f.poll(ctx)
+		f.logContact(err)
+		if err != nil && ctx.Err() == nil {
 			f.cfg.Log.WithError(err).Debug("poll of a voter failed")
 			select {
 			case <-ctx.Done():
--- a/keelsync/reconcile.go
+++ b/keelsync/reconcile.go
@@ -31,6 +31,7 @@
 // endpoints, instances and voters instead.
 func (v *Voter) reconcile(ctx context.Context, now time.Time) {
 	st := v.node.Status()
+	v.sent.report(now, v.cfg.Log)
 	m := v.seen.take()
 	member, voting := v.membership(&st)
 	if st.Leader != "" {
--- a/keelsync/voter.go
+++ b/keelsync/voter.go
@@ -77,6 +77,7 @@
 	ids     atomic.Uint64
 	batcher *batcher
 	seen    seenSet
+	sent    feedCounts
 	seeds   atomic.Pointer[[]netip.Addr]
 	// leaderSince is when reconcile found that this instance leads, or last found
 	// it leading without a valid lease. It is zero while another one leads.
