--- /dev/null
+++ b/keelsync/overload_test.go
@@ -0,0 +1,136 @@
+package keelsync_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelsync"
+	"github.com/greengagekeel/greengagekeel/keelworld"
+	"github.com/matryer/is"
+)
+
+// narrowLink is a link that all answers to its users pass one after the other, at
+// a limited rate. What a caller no longer waits for has used the link in vain.
+type narrowLink struct {
+	bytesPerSecond float64
+
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+// transfer waits until an answer of size bytes has passed the link.
+func (l *narrowLink) transfer(ctx context.Context, size int) error {
+	l.mu.Lock()
+	start := time.Now()
+	if l.freeAt.After(start) {
+		start = l.freeAt
+	}
+	l.freeAt = start.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
+	arrival := l.freeAt
+	l.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrival)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// narrowTransport receives answers over a narrow link.
+type narrowTransport struct {
+	keel.Transport
+	link *narrowLink
+}
+
+func (n narrowTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
+	answer, err := n.Transport.Call(ctx, to, e)
+	if err != nil {
+		return answer, err
+	}
+	return answer, n.link.transfer(ctx, len(answer.Body))
+}
+
+// followerOver starts a follower that receives answers over a link.
+func (w *cluster) followerOver(link *narrowLink, name string) *keelsync.Follower {
+	network := w.hub.Join(keel.InstanceName(name), addrOf(name))
+	f := keelsync.NewFollower(keelsync.FollowerConfig{
+		Self: keelworld.Node{
+			Name: keel.InstanceName(name), Incarnation: 1, Domain: "d0", Region: "r",
+			Caller: netip.AddrPortFrom(netip.MustParseAddr(name), 80), Up: true,
+		},
+		Network: narrowTransport{network, link}, PeerPort: peerPort, Seeds: w.seeds, Log: w.log,
+	})
+	w.run(name, network, f.Run)
+	return f
+}
+
+// largePatch has n items with about 370 bytes each that can't be compressed.
+func largePatch(n int) *keelworld.Command {
+	random := rand.NewChaCha8([32]byte{1})
+	var p keelworld.Patch
+	for i := range n {
+		it := item(fmt.Sprintf("item-%d", i), 1)
+		it.Source = make([]byte, 340)
+		_, _ = random.Read(it.Source) // never fails
+		p.Items = append(p.Items, it)
+	}
+	return &keelworld.Command{Patch: &p}
+}
+
+const (
+	largeItems = 1400
+	// narrowRate is the rate of a link of 1.4 Mbit/s.
+	narrowRate = 175_000
+)
+
+// An instance that starts on a link on which the whole state takes seconds
+// receives it.
+func TestLargeStateOnNarrowLink(t *testing.T) {
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], largePatch(largeItems))
+	f := w.followerOver(&narrowLink{bytesPerSecond: narrowRate}, "10.0.1.1")
+	w.waitFor("the follower has the state", func() bool { return len(f.View().Services) == largeItems })
+}
+
+// An instance that follows the log on a link on which one entry takes seconds
+// receives it.
+func TestLargeEntryOnNarrowLink(t *testing.T) {
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], patch(item("a", 1)))
+	f := w.followerOver(&narrowLink{bytesPerSecond: narrowRate}, "10.0.1.1")
+	w.waitFor("the follower follows", func() bool { return f.View().Services["a"] != nil })
+	w.submit(voters[names[0]], largePatch(largeItems))
+	w.waitFor("the follower has the items", func() bool { return len(f.View().Services) == largeItems+1 })
+}
+
+// Many instances start at once while voters can send the state to only one of
+// them within the time that a poll waits, and commands change the state
+// meanwhile. Each of them receives it.
+func TestRestartOfAllFollowersWithLargeState(t *testing.T) {
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], largePatch(largeItems))
+	link := &narrowLink{bytesPerSecond: 2_000_000}
+	var followers []*keelsync.Follower
+	for i := range 20 {
+		followers = append(followers, w.followerOver(link, fmt.Sprintf("10.0.1.%d", i+1)))
+	}
+	version := keelworld.Version(0)
+	w.waitFor("all followers have the state", func() bool {
+		version++
+		w.submit(voters[names[0]], patch(item("a", version)))
+		for _, f := range followers {
+			if len(f.View().Services) <= largeItems {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(version > 0)
+}
