keelsync: send the state compressed, in parts, and packed once

A poll of a follower without a state gave up after 300 ms and threw away what had arrived. Each poll made a voter copy and encode 548 KB again: three voters, the seeds that every follower polled, sent about 75 MB a second each that nobody waited for. Their loops ran 200 to 800 ms late, so that leases were lost, and one voter was killed at its memory limit.

Elections are not the cause: with 188 ms of delay one was won in 0.8 s.

They fetch it in parts, at half the size after a failure, and keep what arrived. The time limit of a poll doubles while voters do not answer, and each instance begins with another seed.

--- /dev/null
+++ b/keelsync/download.go
@@ -0,0 +1,76 @@
+package keelsync
+
+import (
+	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+)
+
+const (
+	// firstPartBytes is the size of the first part that is requested. It takes
+	// 0.2 s on a link of 1.4 Mbit/s.
+	firstPartBytes = 32 << 10
+	// maxLimitShift limits the growth of the time limit of polls by doubling.
+	maxLimitShift = 3
+)
+
+// download is a blob that a follower receives in parts.
+type download struct {
+	blob blob
+	size int
+	// from is the voter that sent the last part.
+	from keel.InstanceName
+	// partBytes is the size of the next part, and partLimit its limit. The size is
+	// halved after a failed poll, which sets the limit, and doubled after a full
+	// part.
+	partBytes, partLimit int
+	// failed is the number of failed polls since the last answer.
+	failed int
+}
+
+// active reports whether parts of a blob are missing.
+func (d *download) active() bool { return d.size > 0 }
+
+// add adds a part. It returns the blob once it is complete. A part of another blob
+// than the current one starts that one.
+func (d *download) add(p *blobPart, from keel.InstanceName) (*blob, error) {
+	if p.ID != d.blob.id {
+		d.drop()
+	}
+	if p.Offset != len(d.blob.data) {
+		d.drop()
+		return nil, errors.Errorf("part of the state at entry %d begins at %d, want %d", p.ID.Index, p.Offset, len(d.blob.data))
+	}
+	d.blob.id, d.size, d.from = p.ID, p.Size, from
+	d.blob.data = append(d.blob.data, p.Data...)
+	if len(p.Data) >= d.partBytes {
+		d.partBytes = min(2*d.partBytes, d.partLimit)
+	}
+	if len(d.blob.data) < d.size {
+		return nil, nil
+	}
+	b := d.blob
+	d.drop()
+	d.partLimit = maxPartBytes
+	return &b, nil
+}
+
+// drop discards the received parts.
+func (d *download) drop() {
+	d.blob, d.size, d.from = blob{}, 0, ""
+}
+
+// fail records a poll without an answer. After a second one the next poll goes to
+// another voter. The received parts are kept, since that one may have the same
+// blob.
+func (d *download) fail() {
+	d.failed++
+	if d.failed > 1 {
+		d.from = ""
+	}
+	d.partBytes = max(d.partBytes/2, minPartBytes)
+	d.partLimit = d.partBytes
+}
+
+// limitShift returns by how many doublings the time limit of the next poll is
+// extended, so that overloaded voters get fewer polls and have more time for each.
+func (d *download) limitShift() int { return min(d.failed, maxLimitShift) }
--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -16,33 +16,39 @@
 		return keel.Envelope{}, err
 	}
 	v.recordNode(r.Node)
-	a := v.feed(ctx, &r)
+	a, err := v.feed(ctx, &r)
+	if err != nil {
+		return keel.Envelope{}, err
+	}
 	body, err := keel.EncodeCBOR(a)
-	if a.Snapshot != nil {
-		v.sent.addSnapshot(len(body))
+	if a.Snapshot != nil || a.Part != nil {
+		v.sent.add(len(body))
 	}
 	return keel.Envelope{Kind: keel.KindFeed, Body: body}, err
 }
 
 // feed waits until there is an answer to a follower, at most r.Wait.
-func (v *Voter) feed(ctx context.Context, r *feedRequest) *feedAnswer {
+func (v *Voter) feed(ctx context.Context, r *feedRequest) (*feedAnswer, error) {
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
 	for {
-		a, changed, ok := v.machine.entriesAfter(r.After)
+		a, changed, ok, err := v.machine.answer(r)
+		if err != nil {
+			return nil, err
+		}
 		a.Stale = !ok || v.node.Status().Leader == ""
-		if a.Stale || a.Snapshot != nil || len(a.Entries) > 0 {
+		if a.Stale || !a.empty() {
 			a.Voters = v.voters()
-			return &a
+			return &a, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			a.Voters = v.voters()
 			a.Stale = v.node.Status().Leader == ""
-			return &a
+			return &a, nil
 		case <-ctx.Done():
-			return &a
+			return &a, nil
 		}
 	}
 }
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -12,6 +12,7 @@
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelworld"
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
 )
 
 // FollowerConfig configures a [Follower].
@@ -40,7 +41,7 @@
 	// firstAnswerTimeout is how long an answer may take while the state is empty:
 	// a handshake and some round trips between regions. It is short because any
 	// voter can send a snapshot, so that another one is polled soon if this one is
-	// down.
+	// down. It is doubled after each failed poll, up to [maxLimitShift] times.
 	firstAnswerTimeout = 300 * time.Millisecond
 	// feedRetryDelay is the delay before the next poll after a failed one.
 	feedRetryDelay = 20 * time.Millisecond
@@ -60,14 +61,19 @@
 	freshAt atomic.Int64
 	start   time.Time
 
+	// firstSeed determines the seed that is polled first.
+	firstSeed uint64
+
 	mu     sync.Mutex
 	self   keelworld.Node
 	seeds  []netip.Addr
 	voters []keelworld.Node
 	// failedAt is when the last poll of a voter failed or returned a stale answer.
 	failedAt map[keel.InstanceName]time.Time
-	// contact is the contact with the voters as logged last. Only Run uses it.
-	contact contactLog
+	// contact is the contact with the voters as logged last, and download the blob
+	// that is being received. Only Run uses them.
+	contact  contactLog
+	download download
 	// cancelPoll cancels the current poll, so that the next one carries a change
 	// of self.
 	cancelPoll context.CancelFunc
@@ -75,7 +81,11 @@
 
 // NewFollower returns a follower with an empty state.
 func NewFollower(cfg FollowerConfig) *Follower {
-	f := &Follower{cfg: cfg, self: cfg.Self, seeds: cfg.Seeds, failedAt: map[keel.InstanceName]time.Time{}, state: keelworld.NewState(), start: time.Now()}
+	f := &Follower{
+		cfg: cfg, self: cfg.Self, seeds: cfg.Seeds, failedAt: map[keel.InstanceName]time.Time{},
+		state: keelworld.NewState(), start: time.Now(), firstSeed: xxh3.HashString(string(cfg.Self.Name)),
+		download: download{partBytes: firstPartBytes, partLimit: maxPartBytes},
+	}
 	f.view.Store(f.state.View())
 	f.freshAt.Store(-int64(time.Hour))
 	return f
@@ -127,15 +137,18 @@
 
 // poll requests updates from one voter and applies its answer.
 func (f *Follower) poll(ctx context.Context) error {
-	wait, limit := feedWait, feedWait+feedAnswerTimeout
-	if f.state.Index() == 0 {
-		wait, limit = 0, firstAnswerTimeout
-	}
+	wait, limit := f.pollTimes()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	f.mu.Lock()
-	name := f.chooseVoter(time.Now())
-	r := feedRequest{Node: f.self, After: f.state.Index(), Wait: wait}
+	name := f.download.from
+	if name == "" {
+		name = f.chooseVoter(time.Now())
+	}
+	r := feedRequest{
+		Node: f.self, After: f.state.Index(), Wait: wait,
+		PartBytes: f.download.partBytes, Blob: f.download.blob.id, Offset: len(f.download.blob.data),
+	}
 	f.cancelPoll = cancel
 	f.mu.Unlock()
 	to, ok := PeerAddress(name, f.cfg.PeerPort)
@@ -154,6 +167,7 @@
 		f.mu.Unlock()
 		if !selfChanged {
 			f.markFailed(name)
+			f.download.fail()
 		}
 		return errors.Wrapf(err, "poll voter %s", name)
 	}
@@ -162,30 +176,34 @@
 		f.markFailed(name)
 		return err
 	}
+	f.download.failed = 0
 	return f.applyAnswer(&a, name)
 }
 
+// pollTimes returns how long a voter may hold the next poll, and its time limit.
+func (f *Follower) pollTimes() (wait, limit time.Duration) {
+	shift := f.download.limitShift()
+	switch {
+	case f.download.active():
+		return 0, feedAnswerTimeout << shift
+	case f.state.Index() == 0:
+		return 0, firstAnswerTimeout << shift
+	default:
+		return feedWait, feedWait + feedAnswerTimeout
+	}
+}
+
 // applyAnswer applies the answer of a voter and publishes the new view.
 func (f *Follower) applyAnswer(a *feedAnswer, name keel.InstanceName) error {
-	changed := false
-	if sn := a.Snapshot; sn != nil && sn.Index > f.state.Index() {
-		f.state.Restore(sn)
-		changed = true
-	}
-	for _, entry := range a.Entries {
-		if entry.Index <= f.state.Index() {
-			continue
-		}
-		var c keelworld.Command
-		if err := keel.DecodeCBOR(entry.Data, &c); err != nil {
-			f.cfg.Log.WithError(err).WithField("index", entry.Index).Error("undecodable log entry skipped")
-			f.state.Skip(entry.Index)
-			continue
+	content := &feedContent{Entries: a.Entries, Snapshot: a.Snapshot}
+	if a.Part != nil {
+		var err error
+		if content, err = f.addPart(a.Part, name); err != nil {
+			f.markFailed(name)
+			return err
 		}
-		f.state.Apply(entry.Index, &c)
-		changed = true
 	}
-	if changed {
+	if f.applyContent(content) {
 		old, now := f.view.Load(), f.state.View()
 		if f.cfg.OnChange != nil {
 			f.cfg.OnChange(old, now)
@@ -201,10 +219,44 @@
 		f.markFailed(name)
 		return errors.Errorf("voter %s has no leader or lags behind", name)
 	}
-	f.freshAt.Store(int64(time.Since(f.start)))
+	if !f.download.active() {
+		f.freshAt.Store(int64(time.Since(f.start)))
+	}
 	return nil
 }
 
+// addPart adds a part to the download. It returns the content once that is
+// complete, and empty content before.
+func (f *Follower) addPart(p *blobPart, from keel.InstanceName) (*feedContent, error) {
+	b, err := f.download.add(p, from)
+	if err != nil || b == nil {
+		return &feedContent{}, err
+	}
+	return b.content()
+}
+
+// applyContent applies content and reports whether that changed the state.
+func (f *Follower) applyContent(c *feedContent) (changed bool) {
+	if sn := c.Snapshot; sn != nil && sn.Index > f.state.Index() {
+		f.state.Restore(sn)
+		changed = true
+	}
+	for _, entry := range c.Entries {
+		if entry.Index <= f.state.Index() {
+			continue
+		}
+		var command keelworld.Command
+		if err := keel.DecodeCBOR(entry.Data, &command); err != nil {
+			f.cfg.Log.WithError(err).WithField("index", entry.Index).Error("undecodable log entry skipped")
+			f.state.Skip(entry.Index)
+			continue
+		}
+		f.state.Apply(entry.Index, &command)
+		changed = true
+	}
+	return changed
+}
+
 // chooseVoter returns the voter to poll: the nearest one that has not failed
 // recently, or else the one that failed longest ago. The caller holds mu.
 func (f *Follower) chooseVoter(now time.Time) keel.InstanceName {
@@ -221,7 +273,8 @@
 	return oldest
 }
 
-// candidates returns the voters by distance, and then the seeds.
+// candidates returns the voters by distance, and then the seeds. All instances have
+// the same seeds, so that each begins with another one of them.
 func (f *Follower) candidates() []keel.InstanceName {
 	voters := slices.Clone(f.voters)
 	slices.SortStableFunc(voters, func(a, b keelworld.Node) int { return f.distance(&a) - f.distance(&b) })
@@ -229,7 +282,8 @@
 	for _, n := range voters {
 		all = append(all, n.Name)
 	}
-	for _, a := range f.seeds {
+	for i := range f.seeds {
+		a := f.seeds[(f.firstSeed+uint64(i))%uint64(len(f.seeds))]
 		if name := keel.InstanceName(a.String()); !slices.Contains(all, name) {
 			all = append(all, name)
 		}
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -31,6 +31,9 @@
 	recent []entry
 	// recentBase is the index of the entry before the first one in recent.
 	recentBase uint64
+	// entryBytes is the size of all entries that were applied since the start.
+	entryBytes uint64
+	packer     packer
 	// results holds the results of commands proposed by this voter, by command ID;
 	// nil until the command is applied.
 	results map[string]*keelworld.Result
@@ -74,6 +77,7 @@
 		m.logApplied(index, &c, &r)
 	}
 	m.recent = append(m.recent, entry{Index: index, Data: data})
+	m.entryBytes += uint64(len(data))
 	if len(m.recent) > 2*maxRecentEntries {
 		cut := len(m.recent) - maxRecentEntries
 		m.recentBase = m.recent[cut-1].Index
@@ -125,6 +129,7 @@
 	m.state.Restore(sn)
 	m.state.Skip(index)
 	m.recent, m.recentBase = nil, index
+	m.entryBytes += maxContentBytes // the packed snapshot is out of date
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
@@ -147,24 +152,51 @@
 	return r
 }
 
-// entriesAfter returns the entries after index, or a snapshot if they are no
-// longer kept, and a channel that is closed at the next change. ok is false if
-// the local state is older than index.
-func (m *stateMachine) entriesAfter(index uint64) (a feedAnswer, changed chan struct{}, ok bool) {
+// answer returns what a follower lacks, and a channel that is closed at the next
+// change. ok is false if the local state is older than the follower's.
+func (m *stateMachine) answer(r *feedRequest) (a feedAnswer, changed chan struct{}, ok bool, err error) {
+	if r.Offset > 0 {
+		if b := m.packer.find(r.Blob); b != nil {
+			return feedAnswer{Part: b.nextPart(r)}, nil, true, nil
+		}
+	}
+	limit := maxFeedBytes
+	if r.PartBytes > 0 {
+		limit = r.PartBytes
+	}
+	a, changed, ok, snapshotNeeded := m.entriesAfter(r.After, limit)
+	var b *blob
+	switch {
+	case snapshotNeeded && r.PartBytes == 0:
+		m.withState(func(s *keelworld.State) { a.Snapshot = s.Snapshot() })
+	case snapshotNeeded:
+		b, err = m.packSnapshot()
+	case r.PartBytes > 0 && len(a.Entries) == 1 && len(a.Entries[0].Data) > limit:
+		b, err = m.packer.packEntry(a.Entries[0])
+		a.Entries = nil
+	}
+	if b != nil {
+		a.Part = b.nextPart(r)
+	}
+	return a, changed, ok, err
+}
+
+// entriesAfter returns the entries after index with up to limit bytes, at least
+// one, and a channel that is closed at the next change. snapshotNeeded means that
+// the next entry is no longer kept. ok is false if the local state is older than
+// index.
+func (m *stateMachine) entriesAfter(index uint64, limit int) (a feedAnswer, changed chan struct{}, ok, snapshotNeeded bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	applied := m.state.Index()
 	if index > applied {
-		return a, m.changed, false
+		return a, m.changed, false, false
 	}
 	if index == applied && applied > 0 {
-		return a, m.changed, true
+		return a, m.changed, true, false
 	}
 	if index < m.recentBase || index == 0 {
-		if applied > 0 {
-			a.Snapshot = m.state.Snapshot()
-		}
-		return a, m.changed, true
+		return a, m.changed, true, applied > 0
 	}
 	size := 0
 	for _, e := range m.recent {
@@ -172,12 +204,12 @@
 			continue
 		}
 		size += len(e.Data)
-		if size > maxFeedBytes && len(a.Entries) > 0 {
+		if size > limit && len(a.Entries) > 0 {
 			break
 		}
 		a.Entries = append(a.Entries, e)
 	}
-	return a, m.changed, true
+	return a, m.changed, true, false
 }
 
 // awaitApplied waits until the entry at index has been applied.
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -26,6 +26,12 @@
 	After uint64 `cbor:"2,keyasint,omitempty"`
 	// Wait is how long the voter may hold the request until there is a new entry.
 	Wait time.Duration `cbor:"3,keyasint,omitempty"`
+	// PartBytes is the size of a part that the sender accepts; 0 means that it
+	// accepts only whole entries and snapshots.
+	PartBytes int `cbor:"4,keyasint,omitempty"`
+	// Blob and Offset request the next part of a blob, if the voter still has it.
+	Blob   blobID `cbor:"5,keyasint,omitempty"`
+	Offset int    `cbor:"6,keyasint,omitempty"`
 }
 
 // maxFeedWait is the limit of feedRequest.Wait.
@@ -37,6 +43,9 @@
 	if r.Wait < 0 || r.Wait > maxFeedWait {
 		fs.Add("wait", "is %s, must lie between 0s and %s", r.Wait, maxFeedWait)
 	}
+	if r.PartBytes < 0 || r.Offset < 0 {
+		fs.Add("part_bytes", "part of %d bytes at %d must not be negative", r.PartBytes, r.Offset)
+	}
 	return fs
 }
 
@@ -46,8 +55,8 @@
 	Data  []byte `cbor:"2,keyasint"`
 }
 
-// feedAnswer answers a feedRequest with either entries or a snapshot. Both are
-// empty if there is nothing new.
+// feedAnswer answers a feedRequest with entries, a snapshot or a part of a blob.
+// All are empty if there is nothing new.
 type feedAnswer struct {
 	Entries  []entry             `cbor:"1,keyasint,omitempty"`
 	Snapshot *keelworld.Snapshot `cbor:"2,keyasint,omitempty"`
@@ -56,10 +65,22 @@
 	Stale bool `cbor:"3,keyasint,omitempty"`
 	// Voters are the members of the voter set, any of which can be polled.
 	Voters []keelworld.Node `cbor:"4,keyasint,omitempty"`
+	// Part is sent to followers that accept parts.
+	Part *blobPart `cbor:"5,keyasint,omitempty"`
+}
+
+// Check reports the faults of the part. Entries are checked when they are applied.
+func (a *feedAnswer) Check() keel.Faults {
+	if a.Part == nil {
+		return nil
+	}
+	return a.Part.Check()
 }
 
-// Check returns no faults: entries are checked when they are applied.
-func (*feedAnswer) Check() keel.Faults { return nil }
+// empty reports whether there is nothing new.
+func (a *feedAnswer) empty() bool {
+	return a.Snapshot == nil && a.Part == nil && len(a.Entries) == 0
+}
 
 // livenessReport is what a voter periodically sends to the leader.
 type livenessReport struct {
