keelproxy: no refusal of an earlier answer, no quoted bytes, limits for what is no answer

- An endpoint wrote a refusal once more on a kept connection.
With the id of the request, which had been shed and came again on that connection, or without an id, the caller was told 503, not run, while it ran, or it ran at a second endpoint.
A connection now carries no request whose id it carried among its last 16, and an answer without an id counts only on a new connection: one is reused only if its endpoint repeats ids.
- Details of refusals and log lines quoted unread bytes of the endpoint's connection, and addresses.
Only the kind of the failure is passed on now.
- Interim answers and chunk extensions without end were read until the deadline.
At most 8 interim answers are skipped; extensions are limited by net/http/httputil's reader, the trailer to 16 KiB.

TestConnectionReuse sent one id twice and expected one connection. It now has a request of its own id each, and a case in which the id comes again.

--- a/keelproxy/answerread.go
+++ b/keelproxy/answerread.go
@@ -2,8 +2,6 @@
 
 import (
 	"io"
-	"net"
-	"os"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -17,6 +15,9 @@
 	// before the expected one, and maxUnmatchedBytes the body of each.
 	maxUnmatchedAnswers = 2
 	maxUnmatchedBytes   = 256 << 10
+	// maxInterimAnswers limits the interim answers (1xx) before an answer. Servers
+	// send one or two.
+	maxInterimAnswers = 8
 )
 
 // closeDelimited reports whether the body of an answer is delimited by the end
@@ -32,15 +33,14 @@
 		if err := conn.readHeader(resp); err != nil {
 			return err
 		}
-		id := resp.Header.Peek(conn.client.cfg.Dialect.RequestID)
-		if len(id) == 0 || string(id) == r.ID {
+		if conn.isAnswerTo(r, resp) {
 			return conn.checkFraming(resp)
 		}
 		if closeDelimited(resp) {
-			return errors.Errorf("the answer is to request %q, not to %q", id, r.ID)
+			return errors.New("the answer is to another request")
 		}
-		if err := discardBody(resp); err != nil {
-			return errors.Wrapf(err, "discard the answer to request %q", id)
+		if err := discardBody(conn.bodyReader(resp)); err != nil {
+			return errors.Wrap(redactError(err), "discard an answer to another request")
 		}
 		skip := resp.SkipBody
 		resp.Reset()
@@ -49,6 +49,15 @@
 	return errors.Errorf("more than %d answers to other requests", maxUnmatchedAnswers)
 }
 
+// isAnswerTo reports whether the answer whose header is in resp is to r. An answer
+// without an id counts only on a new connection: a connection is reused only if its
+// endpoint repeats ids, so that such an answer may be an earlier one that was sent
+// again.
+func (conn *endpointConn) isAnswerTo(r *Request, resp *fasthttp.Response) bool {
+	id := resp.Header.Peek(conn.client.cfg.Dialect.RequestID)
+	return string(id) == r.ID || len(id) == 0 && !conn.reused
+}
+
 // checkFraming rejects a close-delimited answer, whose end looks like a lost
 // connection, unless the dialect allows it.
 func (conn *endpointConn) checkFraming(resp *fasthttp.Response) error {
@@ -59,55 +68,34 @@
 }
 
 // readHeader reads the header of an answer and skips interim answers (1xx). It
-// opens the body unless that is close-delimited.
+// opens a body with a length; other bodies are read by [endpointConn.bodyReader].
 func (conn *endpointConn) readHeader(resp *fasthttp.Response) error {
-	for {
+	for range maxInterimAnswers + 1 {
 		if err := resp.Header.Read(conn.r); err != nil {
 			return redactError(err)
 		}
-		if resp.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
 		if resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			return errors.New("the endpoint switched protocols without an upgrade request")
 		}
+		if resp.StatusCode() >= fasthttp.StatusOK {
+			return conn.openBody(resp)
+		}
 		resp.Header.Reset()
 	}
-	if resp.SkipBody || !hasBodyStatus(resp.StatusCode()) || closeDelimited(resp) {
-		return nil
-	}
-	if err := resp.ReadBody(conn.r, 0); err != nil {
-		return redactError(err)
-	}
-	return nil
+	return errors.Errorf("more than %d interim answers", maxInterimAnswers)
 }
 
-// errMalformed replaces parse errors of fasthttp, which quote the input. That
-// may be part of another caller's answer and must not be logged.
-var errMalformed = errors.New("the answer is malformed")
-
-// redactError returns errors of the connection unchanged and replaces all others
-// by [errMalformed].
-func redactError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) {
-		return err
-	}
-	for _, known := range []error{io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded, net.ErrClosed, fasthttp.ErrTimeout} {
-		if errors.Is(err, known) {
-			return err
-		}
+// openBody opens the body of the answer whose header is in resp if it has a length.
+func (conn *endpointConn) openBody(resp *fasthttp.Response) error {
+	if resp.SkipBody || !hasBodyStatus(resp.StatusCode()) || closeDelimited(resp) || chunked(resp) {
+		return nil
 	}
-	return errMalformed
+	return redactError(resp.ReadBody(conn.r, 0))
 }
 
 // discardBody reads and drops the body of an answer to another request.
-func discardBody(resp *fasthttp.Response) error {
-	s := resp.BodyStream()
-	if s == nil {
-		return nil
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(s, maxUnmatchedBytes+1))
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxUnmatchedBytes+1))
 	if err == nil && n > maxUnmatchedBytes {
 		return errors.Errorf("its body exceeds %d bytes", maxUnmatchedBytes)
 	}
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -107,9 +108,9 @@
 // no byte was sent.
 func (c *EndpointClient) Dispatch(ctx context.Context, t Target, r *Request) (*Answer, error) {
 	now := time.Now()
-	conn, err := c.acquire(ctx, now, t, r.NewConnection)
+	conn, err := c.acquire(ctx, now, t, r)
 	if err != nil {
-		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, err)
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, redactError(err))
 	}
 	answer, err := conn.exchange(ctx, r)
 	if err != nil {
@@ -191,11 +192,10 @@
 	}
 }
 
-// acquire returns an idle connection to t, or a new one if there is none or fresh
-// is set.
-func (c *EndpointClient) acquire(ctx context.Context, now time.Time, t Target, fresh bool) (*endpointConn, error) {
-	for !fresh {
-		conn := c.popIdle(t.Address)
+// acquire returns an idle connection to t that can carry r, or a new one.
+func (c *EndpointClient) acquire(ctx context.Context, now time.Time, t Target, r *Request) (*endpointConn, error) {
+	for !r.NewConnection {
+		conn := c.popIdle(t.Address, r.ID)
 		if conn == nil {
 			break
 		}
@@ -208,18 +208,22 @@
 	return c.dial(ctx, t)
 }
 
-func (c *EndpointClient) popIdle(addr netip.AddrPort) *endpointConn {
+// popIdle returns the idle connection to addr that was used last, or nil. One that
+// has carried a request with the same id is left out: the endpoint may send the
+// earlier answer again, such as a refusal, although this time it runs the request.
+func (c *EndpointClient) popIdle(addr netip.AddrPort, id string) *endpointConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		conn := conns[i]
+		if conn.carried.contains(id) {
+			continue
+		}
+		c.idle[addr] = slices.Delete(conns, i, i+1)
+		return conn
 	}
-	last := len(conns) - 1
-	conn := conns[last]
-	conns[last] = nil
-	c.idle[addr] = conns[:last]
-	return conn
+	return nil
 }
 
 // pushIdle adds conn to the idle connections and reports whether it was kept.
--- a/keelproxy/endpointanswer.go
+++ b/keelproxy/endpointanswer.go
@@ -23,7 +23,7 @@
 	a := &endpointAnswer{body: answerBody{conn: conn, resp: resp, binding: binding}}
 	a.body.reusable = conn.requestSent && conn.client.reusable(r, resp)
 	a.body.r = conn.bodyReader(resp)
-	a.body.atEnd = resp.BodyStream() == nil && !closeDelimited(resp)
+	a.body.atEnd = resp.BodyStream() == nil && !closeDelimited(resp) && !chunked(resp)
 	var texts arena
 	texts.grow(typicalHeaderBytes)
 	f := newHeaderFilter(string(resp.Header.Peek("Connection")), conn.client.internalFields, &texts, a.fields[:0])
@@ -41,10 +41,12 @@
 // bodyReader returns the body of the answer whose header is in resp. A
 // close-delimited body is read from the connection directly.
 func (conn *endpointConn) bodyReader(resp *fasthttp.Response) io.Reader {
-	if closeDelimited(resp) {
+	switch s := resp.BodyStream(); {
+	case closeDelimited(resp):
 		return conn.r
-	}
-	if s := resp.BodyStream(); s != nil {
+	case chunked(resp):
+		return newChunkedBody(conn.r)
+	case s != nil:
 		return s
 	}
 	return eofReader{}
@@ -72,7 +74,7 @@
 		b.atEnd = true
 		return n, io.EOF
 	}
-	return n, err
+	return n, redactError(err)
 }
 
 // Close returns the connection to the idle ones if it may be reused and the
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -32,6 +32,10 @@
 	sent atomic.Int64
 	// requestSent is set when the current request was sent completely.
 	requestSent bool
+	// reused is set while the connection carries another request than its first.
+	reused bool
+	// carried are the ids of the requests that the connection carried last.
+	carried recentIDs
 	// steps counts the starts and ends of reads and writes.
 	steps     atomic.Uint64
 	idleSince time.Time
@@ -98,6 +102,8 @@
 	if err := conn.nc.SetDeadline(r.Deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
+	conn.reused = !conn.carried.empty()
+	conn.carried.add(r.ID)
 	conn.client.acquireBuffers(conn)
 	binding := conn.bind(ctx, r.Body)
 	resp := fasthttp.AcquireResponse()
@@ -175,7 +181,7 @@
 	if body.err != nil {
 		return &bodyError{body.err}
 	}
-	return err
+	return redactError(err)
 }
 
 // hasBodyStatus reports whether answers with this status may have a body.
--- a/keelproxy/proxy_test.go
+++ b/keelproxy/proxy_test.go
@@ -167,25 +167,29 @@
 func TestConnectionReuse(t *testing.T) {
 	tests := []struct {
 		name, answer string
+		ids          [2]string
 		conns        int
 	}{
-		{"id repeated", okHeader + "Content-Length: 2\r\n\r\nok", 1},
-		{"id not repeated", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2},
-		{"answered twice", strings.Repeat(okHeader+"Content-Length: 2\r\n\r\nok", 2), 2},
+		{"id repeated", okHeader + "Content-Length: 2\r\n\r\nok", [2]string{"id-1", "id-2"}, 1},
+		{"id not repeated", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", [2]string{"id-1", "id-2"}, 2},
+		{"answered twice", strings.Repeat(okHeader+"Content-Length: 2\r\n\r\nok", 2), [2]string{"id-1", "id-2"}, 2},
+		{"same request again", okHeader + "Content-Length: 2\r\n\r\nok", [2]string{"id-1", "id-1"}, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var seen []string
 			addr := rawEndpoint(t, func(r *http.Request, w io.Writer) bool {
-				send(w, tt.answer)
+				send(w, strings.ReplaceAll(tt.answer, "id-1", r.Header.Get(keelproxy.HeaderRequestID)))
 				return true
 			})
 			counted := &connCounter{}
 			c := keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: counted})
 			defer c.Close()
-			for range 2 {
-				a, err := c.Dispatch(t.Context(), keelproxy.Target{ID: target, Address: addr}, newGetRequest())
+			for _, id := range tt.ids {
+				r := newGetRequest()
+				r.ID = id
+				a, err := c.Dispatch(t.Context(), keelproxy.Target{ID: target, Address: addr}, r)
 				is.NoErr(err)
 				body, err := io.ReadAll(a.Body)
 				is.NoErr(err)
