keelentry: no 404 from a configuration that may be out of date

Callers don't retry after a 404. While the view has not been confirmed for a second, a request without a route now gets 503 with Retry-After, as it does while no configuration is known.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -20,7 +20,7 @@
 	Pool keelplace.Config
 	// View returns the current view of the replicated state.
 	View func() *keelworld.View
-	// Age returns the age of the view, for the log.
+	// Age returns the time since the view was last confirmed to be current.
 	Age func(now time.Time) time.Duration
 	// Client sends requests to endpoints.
 	Client *keelproxy.EndpointClient
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -49,10 +49,23 @@
 // retried.
 const maxBufferedBytes = 256 << 10
 
-// refuseUnmatched returns the refusal of a request that matches no route.
+const (
+	// unconfirmedAge is the age from which a view may lack a route that is in force.
+	// It is more than two polls of the voters take.
+	unconfirmedAge = time.Second
+	// unconfirmedRetryAfter is the retry delay while a route may be missing.
+	unconfirmedRetryAfter = 500 * time.Millisecond
+)
+
+// refuseUnmatched returns the refusal of a request that matches no route. Callers
+// don't retry an unknown service, so that reason needs a view that is current.
 func (t *task) refuseUnmatched() *keel.Refusal {
 	if !t.view.Configured {
-		return keel.Refuse(keel.NotRun, keel.ReasonLeaving, 500*time.Millisecond, "no configuration is known yet")
+		return keel.Refuse(keel.NotRun, keel.ReasonLeaving, unconfirmedRetryAfter, "no configuration is known yet")
+	}
+	if age := t.runner.cfg.Age(time.Now()); age > unconfirmedAge {
+		return keel.Refuse(keel.NotRun, keel.ReasonLeaving, unconfirmedRetryAfter,
+			"no route for host %q and path %q in a configuration that was last confirmed more than %s ago", t.request.Host, t.request.Path(), unconfirmedAge)
 	}
 	return keel.Refuse(keel.NotRun, keel.ReasonUnknownService, 0, "no route for host %q and path %q", t.request.Host, t.request.Path())
 }
