keelsync: polls wait longer on a congested link

A follower on whose link answers waited for more than 900 ms never received a change while that lasted: each poll was given up and repeated. After two failed polls, which go to other voters, the time limit now grows.

TestFollowerOnCongestedLink failed after 40 s and passes in 7.6 s, of which 1.2 s is the delay of each answer.

--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -189,7 +189,8 @@
 	case f.state.Index() == 0:
 		return 0, firstAnswerTimeout << shift
 	default:
-		return feedWait, feedWait + feedAnswerTimeout
+		// Voters that are down must not delay the poll of one that isn't.
+		return feedWait, feedWait + feedAnswerTimeout<<max(shift-1, 0)
 	}
 }
 
--- a/keelsync/overload_test.go
+++ b/keelsync/overload_test.go
@@ -16,9 +16,11 @@
 )
 
 // narrowLink is a link that all answers to its users pass one after the other, at
-// a limited rate. What a caller no longer waits for has used the link in vain.
+// a limited rate and then after a delay. What a caller no longer waits for has used
+// the link in vain.
 type narrowLink struct {
 	bytesPerSecond float64
+	delay          time.Duration
 
 	mu     sync.Mutex
 	freeAt time.Time
@@ -32,7 +34,7 @@
 		start = l.freeAt
 	}
 	l.freeAt = start.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
-	arrival := l.freeAt
+	arrival := l.freeAt.Add(l.delay)
 	l.mu.Unlock()
 	select {
 	case <-time.After(time.Until(arrival)):
@@ -109,6 +111,17 @@
 	w.waitFor("the follower has the items", func() bool { return len(f.View().Services) == largeItems+1 })
 }
 
+// An instance on whose link packets wait for longer than a poll takes receives
+// changes late, but it receives them.
+func TestFollowerOnCongestedLink(t *testing.T) {
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], patch(item("a", 1)))
+	f := w.followerOver(&narrowLink{bytesPerSecond: narrowRate, delay: 1200 * time.Millisecond}, "10.0.1.1")
+	w.waitFor("the follower has the state", func() bool { return f.View().Services["a"] != nil })
+	w.submit(voters[names[0]], patch(item("b", 1)))
+	w.waitFor("the follower has the change", func() bool { return f.View().Services["b"] != nil })
+}
+
 // Many instances start at once while voters can send the state to only one of
 // them within the time that a poll waits, and commands change the state
 // meanwhile. Each of them receives it.
