keelproxy: a refused request leaves its body to the retry

When another instance refuses a request before its sender has read the body, the request is sent again with the same body. The first sender, a goroutine, could still start to read it, beside the second one: a data race, and the retry lacked the beginning of the body. Now the sender marks the body as read before its first read, and when Forward returns a refusal the sender has either done so, which prevents the retry, or never reads.

--- a/keelproxy/body.go
+++ b/keelproxy/body.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// MarkRead calls the method MarkRead of body, if it has one, before the first read.
+// A body that is marked is not sent again.
+func MarkRead(body io.Reader) {
+	if b, ok := body.(interface{ MarkRead() }); ok {
+		b.MarkRead()
+	}
+}
+
 // requestBody reads the body of a request for an endpoint and records a read
 // error, so that it can be told from an error of the endpoint's connection.
 type requestBody struct {
--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -120,12 +120,16 @@
 	once   sync.Once
 }
 
-// abort cancels the stream and stops watching the context.
+// abort cancels the stream and stops watching the context. When it has returned, the
+// request's body is marked as read or will not be read.
 func (x *exchange) abort() {
 	x.once.Do(func() {
 		x.stop()
 		x.stream.Cancel()
 	})
+	if x.sender != nil {
+		x.sender.stop()
+	}
 }
 
 func (x *exchange) answer(ctx context.Context, to netip.AddrPort) (*Answer, error) {
@@ -160,9 +164,33 @@
 type bodySender struct {
 	stream keel.Stream
 	body   io.Reader
+
+	mu      sync.Mutex
+	stopped bool
+}
+
+// begin marks the body as read, unless the sender has been stopped.
+func (b *bodySender) begin() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		return false
+	}
+	MarkRead(b.body)
+	return true
+}
+
+// stop prevents the sender from reading the body if it has not begun.
+func (b *bodySender) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
 }
 
 func (b *bodySender) run() {
+	if !b.begin() {
+		return
+	}
 	err := sendBody(b.stream, b.body)
 	if errors.Is(err, ErrStalled) {
 		// The other instance determines the verdict, since only it can tell
--- a/keelproxy/forward_test.go
+++ b/keelproxy/forward_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +99,61 @@
 		})
 	}
 }
+
+// refusedStream is a stream on which the refusal arrives before the body is sent.
+type refusedStream struct{ refusingStream }
+
+func (s *refusedStream) Write(p []byte) (int, error) { return len(p), nil }
+func (s *refusedStream) Read(p []byte) (int, error)  { return s.refusal.Read(p) }
+
+type refusedTransport struct{ refusingTransport }
+
+func (tr refusedTransport) Open(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Stream, error) {
+	s, err := tr.refusingTransport.Open(ctx, to, e)
+	if err != nil {
+		return nil, err
+	}
+	return &refusedStream{refusingStream{refusal: s.(*refusingStream).refusal, failed: make(chan struct{}), canceled: make(chan struct{})}}, nil
+}
+
+// reusableBody is a body that is sent again if it was not read, as a retry does.
+type reusableBody struct {
+	marked, reused atomic.Bool
+	readAfterReuse atomic.Bool
+}
+
+func (b *reusableBody) MarkRead() { b.marked.Store(true) }
+
+func (b *reusableBody) Read([]byte) (int, error) {
+	b.marked.Store(true)
+	if b.reused.Load() {
+		b.readAfterReuse.Store(true)
+	}
+	return 0, io.EOF
+}
+
+// A request whose refusal arrives before its body was read may be sent again with
+// the same body. The sender of the first attempt must not read it as well: the
+// second attempt would lack what it took.
+func TestRefusedRequestLeavesBodyToRetry(t *testing.T) {
+	is := is.New(t)
+	reused := 0
+	for range 2000 {
+		b := &reusableBody{}
+		f := keelproxy.Forwarder{Transport: refusedTransport{}}
+		_, err := f.Forward(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), &keelproxy.Request{
+			ID: "id", Method: "POST", URI: "/x", ContentLength: 4, Body: b, Deadline: time.Now().Add(time.Minute),
+		})
+		is.Equal(keel.VerdictOf(err), keel.NotRun)
+		b.reused.Store(true)
+		if b.marked.Load() {
+			continue // read before Forward returned, so that it is not sent again
+		}
+		reused++
+		for range 10 {
+			runtime.Gosched()
+		}
+		is.True(!b.readAfterReuse.Load())
+	}
+	t.Logf("%d of 2000 bodies were left unread", reused)
+}
--- a/keelsteer/body.go
+++ b/keelsteer/body.go
@@ -54,6 +54,12 @@
 	return b.r.Read(p)
 }
 
+// MarkRead records that the body is about to be read.
+func (b *trackedBody) MarkRead() {
+	b.started.Store(true)
+	keelproxy.MarkRead(b.r)
+}
+
 // Interrupt aborts a Read in progress.
 func (b *trackedBody) Interrupt() {
 	keelproxy.Interrupt(b.r)
--- a/keelsteer/links.go
+++ b/keelsteer/links.go
@@ -201,6 +201,9 @@
 	return n, err
 }
 
+// MarkRead marks the body that is paced.
+func (b *pacedBody) MarkRead() { keelproxy.MarkRead(b.r) }
+
 // Interrupt aborts a Read in progress.
 func (b *pacedBody) Interrupt() {
 	keelproxy.Interrupt(b.r)
