keelclaim: votes report former homes as of the current declarations

A key that had run was granted again at a restarted instance: its claim was at the former home, which the holder of the new home did not report. A holder took over changed failure domains only in its tick, every 200 ms, and read them before the holders, so that it could vote with the new holders and without the former homes. The home is now brought up to date before each vote, and read after the holders.

TestVoteReportsFormerHomeAtOnce failed (0 former sets, want 1).

--- a/keelclaim/service.go
+++ b/keelclaim/service.go
@@ -165,8 +165,8 @@
 
 func (s *Service) tick() {
 	now := s.cfg.Clock.Now()
-	s.updateHomes(now)
 	sets := InForce(s.cfg.Holders(s.cfg.Self.Domain), now, s.maxRetention())
+	s.updateHomes(now) // after the holders, so that it is not older than they are
 	lifted := s.cfg.BarrierLifted != nil && s.cfg.BarrierLifted()
 	s.mu.Lock()
 	s.holder.SetHolders(now, sets)
@@ -202,9 +202,12 @@
 
 // handle passes a message of an instance, possibly of this one, to the holder.
 func (s *Service) handle(from keel.InstanceName, m Message) Reply {
+	now := s.cfg.Clock.Now()
+	if m.VoteRequest != nil {
+		s.updateHomes(now) // the vote reports the former homes of the key
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.cfg.Clock.Now()
 	reply := s.holder.Handle(now, from, m)
 	if m.VoteRequest != nil && m.VoteRequest.Ticket == nil {
 		former := append(reply.Vote.Former, s.formerSets(now, m.VoteRequest.Key)...)
--- a/keelclaim/service_test.go
+++ b/keelclaim/service_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -270,6 +271,41 @@
 	}
 }
 
+// A holder that votes right after the failure domains changed, before its next
+// tick, reports the former home of the key: its claims may be there.
+func TestVoteReportsFormerHomeAtOnce(t *testing.T) {
+	is := is.New(t)
+	n, _ := startHome(t)
+	n.mu.Lock()
+	n.sets["thies-a"] = []keelclaim.Set{{Holders: []keel.InstanceName{"k4"}, ObservedFromStart: true}}
+	n.mu.Unlock()
+	stopped := func(cfg *keelclaim.Config) { cfg.Clock = clockwork.NewFakeClockAt(time.Now()) }
+	holder := n.start(t, "k4", "thies-a", 1, stopped)
+	waitPhase(t, holder, keelclaim.PhaseWhole)
+	n.mu.Lock()
+	n.domains = []keel.DomainName{"dakar-a", "thies-a"}
+	n.mu.Unlock()
+	moved := 0
+	for i := range 30 {
+		r := request(fmt.Sprintf("key-%d", i), time.Minute)
+		if home, ok := holder.HomeOf(r); !ok || home != "thies-a" {
+			continue
+		}
+		moved++
+		body, err := keel.EncodeCBOR(keelclaim.Message{VoteRequest: &keelclaim.VoteRequest{
+			Key: keelclaim.KeyIDOf(testSecret, r), Attempt: keelclaim.Attempt{Instance: "k1", Incarnation: 1, Counter: uint64(i + 1)},
+			BodyHash: r.BodyHash, Remaining: keel.Duration(time.Minute),
+		}})
+		is.NoErr(err)
+		e, err := holder.HandleMessage(t.Context(), keel.Envelope{Kind: keel.KindClaim, From: "k1", Body: body})
+		is.NoErr(err)
+		var reply keelclaim.Reply
+		is.NoErr(keel.DecodeCBOR(e.Body, &reply))
+		is.Equal(len(reply.Vote.Former), 1)
+	}
+	is.True(moved > 0)
+}
+
 // claimAtHome checks that home is the home of a key at the service, and claims a
 // key there, so that the service records its possible homes.
 func claimAtHome(t testing.TB, s *keelclaim.Service, home keel.DomainName) {
