keelroute: no division by zero after the last request of a source was diverted

The allowance of a source divides the diverted requests of the window by all of them. If the requests have left the window and the diverted one has not, the instance panicked in its run group.

TestDivertedRequestWithoutOthers panicked.

--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -303,3 +303,22 @@
 		keelroute.PowerOfTwo{}.Pick(views, random)
 	}
 }
+
+// A source has sent nothing in the window but a request that was diverted in it:
+// its requests came just before. Nothing more may move until the window is over.
+func TestDivertedRequestWithoutOthers(t *testing.T) {
+	is := is.New(t)
+	const window = 10 * time.Second
+	s := newShares(100, window)
+	s.SetTarget(epoch, gallery, only("a"))
+	for range 10 {
+		s.Pick(epoch, gallery, 0)
+	}
+	later := epoch.Add(window - window/10)
+	is.True(s.Divert(later, gallery))
+	quiet := later.Add(window / 2) // the requests have left the window, the diversion has not
+	s.SetTarget(quiet, gallery, only("b"))
+	is.Equal(share(s, "b"), 0.0)
+	s.Pick(later.Add(2*window), gallery, 0)
+	is.True(share(s, "b") > 0)
+}
--- a/keelroute/vector.go
+++ b/keelroute/vector.go
@@ -115,6 +115,7 @@
 	}
 	left := v.capBuckets() - v.ledger.spent(now, v.cap.Window.Std())
 	if n, diverted := v.traffic.totals(now); diverted > 0 {
+		n = max(n, diverted) // the requests may have left the window before
 		left -= (diverted*Buckets + n - 1) / n
 	}
 	return left
