--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -228,7 +228,7 @@
 		f.markFailed(name)
 		return errors.Errorf("voter %s has no leader or lags behind", name)
 	}
-	if !f.download.active() {
+	if a.Part == nil { // a blob may be older than the state of the voter
 		f.freshAt.Store(int64(time.Since(f.start)))
 	}
 	return nil
