keelentry: a request that may have run is not reported as not run after a retry

A safe request whose endpoint ran it and broke off is sent to another endpoint. If that one sheds it, or can't be reached, the caller got 503 and "not run": the refusal of the last attempt replaced that of the first. The rule that keelsteer had for this, that a later attempt does not strengthen the verdict, is now Refusal.AfterAttempt, and both use it.

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -109,7 +109,7 @@
 		if refusal == nil {
 			return a, nil
 		}
-		last = refusal
+		last = refusal.AfterAttempt(last)
 		now = time.Now()
 		if !retry || ctx.Err() != nil || t.streamed || len(t.attempted) >= t.spec.Attempts {
 			return nil, t.setRetryAfter(now, last)
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -180,28 +180,29 @@
 	}
 	body := trackBody(r)
 	item := keeladmit.Item{Class: sel.Class, Deadline: r.Deadline, Labels: sel.Endpoints, Selector: sel.Name}
-	var lastErr error
+	var last *keel.Refusal
 	for attempt := 1; ; attempt++ {
 		retry, err := e.checkGuard(ctx, r, &item)
 		if err != nil {
-			return nil, reportedError(lastErr, err)
+			return nil, keelproxy.AsRefusal(err).AfterAttempt(last)
 		}
 		if item.Avoid != "" && !pl.hasOther(item.Avoid) {
 			e.cfg.Guard.NotDispatched(keelguard.ID(r.Fingerprint))
-			return nil, reportedError(lastErr, avoidedRefusal(sel, item.Avoid))
+			return nil, avoidedRefusal(sel, item.Avoid).AfterAttempt(last)
 		}
 		t, refusal := pl.acquire(ctx, item)
 		if refusal != nil {
 			e.cfg.Guard.NotDispatched(keelguard.ID(r.Fingerprint))
-			return nil, reportedError(lastErr, refusal)
+			return nil, refusal.AfterAttempt(last)
 		}
 		answer, err := e.dispatch(ctx, pl, t, r)
 		if err == nil {
 			return answer, nil
 		}
-		lastErr = reportedError(lastErr, err)
-		if attempt == maxAttempts || !retry || !pl.hasOther(t.ID.Name) || !e.mayRetry(ctx, r, err, body.wasRead()) {
-			return nil, lastErr
+		refusal = keelproxy.AsRefusal(err)
+		last = refusal.AfterAttempt(last)
+		if attempt == maxAttempts || !retry || !pl.hasOther(t.ID.Name) || !e.mayRetry(ctx, r, refusal, body.wasRead()) {
+			return nil, last
 		}
 		item.Avoid = t.ID.Name
 		r.NewConnection = true
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -64,34 +64,25 @@
 func (e *Engine) runShared(ctx context.Context, p *plan, sel *keel.Selector, r *keelproxy.Request) (*keelproxy.Answer, error) {
 	src := keelroute.Source{Selector: sel.Name, Region: r.Source}
 	body := trackBody(r)
-	var lastErr error
+	var last *keel.Refusal
 	for attempt := 1; ; attempt++ {
 		domain, refusal := e.pickDomain(p, sel, src, r, attempt)
 		if refusal != nil {
-			return nil, reportedError(lastErr, refusal)
+			return nil, refusal.AfterAttempt(last)
 		}
 		answer, err := e.runChosen(ctx, p, sel, r, src, domain, body)
 		if err == nil {
 			return answer, nil
 		}
-		lastErr = reportedError(lastErr, err)
-		if attempt == maxAttempts || !e.mayRetry(ctx, r, err, body.wasRead()) {
-			return nil, lastErr
+		refusal = keelproxy.AsRefusal(err)
+		last = refusal.AfterAttempt(last)
+		if attempt == maxAttempts || !e.mayRetry(ctx, r, refusal, body.wasRead()) {
+			return nil, last
 		}
 		r.NewConnection = true
 	}
 }
 
-// reportedError returns the error to report after a retry. A request that may
-// have run in an earlier attempt is not reported as not run because a later
-// attempt did not run it.
-func reportedError(previous, err error) error {
-	if previous != nil && keel.VerdictOf(previous) != keel.NotRun && keel.VerdictOf(err) == keel.NotRun {
-		return previous
-	}
-	return err
-}
-
 // pickDomain returns the failure domain for a request. Callers of one block map
 // to the same part of the share vector at every instance, so that a caller that
 // a look-up directed here is served in this domain.
@@ -114,8 +105,7 @@
 
 // mayRetry reports whether a failed request may be retried: it has not run or
 // is safe to run twice, its body was not read, and the retry budget allows it.
-func (e *Engine) mayRetry(ctx context.Context, r *keelproxy.Request, err error, bodyRead bool) bool {
-	refusal := keelproxy.AsRefusal(err)
+func (e *Engine) mayRetry(ctx context.Context, r *keelproxy.Request, refusal *keel.Refusal, bodyRead bool) bool {
 	if ctx.Err() != nil || bodyRead || !retryMayHelp(refusal.Reason) {
 		return false
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// AfterAttempt returns the refusal to report for a request of which r ended the last
+// attempt and previous, if not nil, an earlier one. A request that may have run in
+// an earlier attempt is not reported as not run because a later one did not run it.
+func (r *Refusal) AfterAttempt(previous *Refusal) *Refusal {
+	if previous != nil && previous.Verdict != NotRun && r.Verdict == NotRun {
+		return previous
+	}
+	return r
+}
+
 // Error returns the verdict, the reason and the detail.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s: %s: %s", r.Verdict, r.Reason, r.Detail)
