keelproxy: the body of a dropped answer is not awaited

An endpoint that refused a request as not run, without sending the body of its refusal, held the request until its deadline: the rest was read first, so that the connection could be reused, and then no time was left for another endpoint. What does not arrive within 20 ms is now given up with the connection.

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -243,7 +243,7 @@
 	facts := t.runner.cfg.ReadFacts(a)
 	o := keelplace.Outcome{Kind: keelplace.Answered, Report: facts.Report, Failed: a.Status >= http.StatusInternalServerError}
 	drop := func(kind keelplace.OutcomeKind, verdict keel.Verdict, reason keel.Reason, text string) (*keelproxy.Answer, *keel.Refusal, keelplace.Outcome) {
-		discard(a)
+		keelproxy.Discard(a.Body)
 		o.Kind = kind
 		return nil, keel.Refuse(verdict, reason, 0, "endpoint %s: %s", e.ID, text), o
 	}
@@ -283,12 +283,6 @@
 	return false
 }
 
-// discard reads the rest of an answer, so that its connection can be reused.
-func discard(a *keelproxy.Answer) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedBytes)) // errors don't matter, since the answer is dropped
-	_ = a.Body.Close()
-}
-
 // bufferAnswer reads the body of an answer if it has at most [maxBufferedBytes].
 func bufferAnswer(a *keelproxy.Answer) error {
 	if a.ContentLength > maxBufferedBytes {
--- a/keelproxy/body.go
+++ b/keelproxy/body.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// Discard ends an answer whose body is not needed, without waiting for an endpoint
+// that does not send it.
+func Discard(body io.ReadCloser) {
+	if b, ok := body.(interface{ Discard() }); ok {
+		b.Discard()
+		return
+	}
+	_ = body.Close() // the answer is dropped in any case
+}
+
 // requestBody reads the body of a request for an endpoint and records a read
 // error, so that it can be told from an error of the endpoint's connection.
 type requestBody struct {
--- a/keelproxy/endpointanswer.go
+++ b/keelproxy/endpointanswer.go
@@ -77,6 +77,24 @@
 	return n, redactError(err)
 }
 
+const (
+	// discardTimeout is how long the rest of a discarded body is awaited. A short
+	// body normally arrives with its header.
+	discardTimeout = 20 * time.Millisecond
+	// maxDiscardBytes limits the rest of a discarded body that is read.
+	maxDiscardBytes = 64 << 10
+)
+
+// Discard closes the body. It first reads a short rest, so that the connection can
+// be reused, but does not wait for one that the endpoint may never send.
+func (b *answerBody) Discard() {
+	deadline := time.Now().Add(discardTimeout)
+	if !b.atEnd && b.conn.nc.SetReadDeadline(deadline) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes)) // without the end, the connection is closed
+	}
+	_ = b.Close() // never fails
+}
+
 // Close returns the connection to the idle ones if it may be reused and the
 // answer was read to its end. Otherwise it closes the connection.
 func (b *answerBody) Close() error {
