keelproxy: refusals do not name the addresses of other instances

The detail of a request that could not be forwarded quoted the error of the transport, with the peer address of the other instance, to the caller. It now says which step failed; address and error are logged with the id of the request.

--- a/keelproxy/faulty_endpoint_test.go
+++ b/keelproxy/faulty_endpoint_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/matryer/is"
 )
@@ -120,6 +121,18 @@
 			_, err := f.Forward(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), newGetRequest())
 			is.Equal(keel.VerdictOf(err), keel.MayHaveRun)
 			is.True(!strings.Contains(err.Error(), "secret"))
+			is.True(!strings.Contains(err.Error(), "127.0.0.1"))
 		})
 	}
 }
+
+// An instance that can't be reached is not named by its address, which the error of
+// the transport contains.
+func TestUnreachablePeerAddressIsNotQuoted(t *testing.T) {
+	is := is.New(t)
+	hub := keelpeer.NewMemoryHub(keelpeer.HubConfig{})
+	f := keelproxy.Forwarder{Transport: hub.Join("a", netip.MustParseAddrPort("127.0.0.1:1"))}
+	_, err := f.Forward(t.Context(), netip.MustParseAddrPort("127.0.0.1:2"), newGetRequest())
+	is.Equal(keel.VerdictOf(err), keel.NotRun)
+	is.True(!strings.Contains(err.Error(), "127.0.0.1"))
+}
--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 )
 
@@ -66,6 +67,9 @@
 type Forwarder struct {
 	// Transport carries the streams.
 	Transport keel.Transport
+	// Log gets the errors of the transport, whose texts contain addresses that
+	// callers are not told. Nil means that they are not logged.
+	Log *logrus.Entry
 }
 
 // Forward sends r to the instance at to and returns its answer. The error is a
@@ -78,7 +82,8 @@
 	}
 	s, err := f.Transport.Open(ctx, to, e)
 	if err != nil {
-		return nil, keel.Refuse(keel.NotRun, keel.ReasonPeerFailed, 0, "open stream to instance at %s: %v", to, err)
+		f.logFailure(to, r, err)
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonPeerFailed, 0, "no stream to another instance could be opened")
 	}
 	x := &exchange{stream: s, r: keel.NewCBORReader(s)}
 	x.stop = context.AfterFunc(ctx, func() {
@@ -93,7 +98,23 @@
 		// still read.
 		_ = s.CloseWrite()
 	}
-	return x.answer(ctx, to)
+	answer, err := x.answer()
+	if err == nil {
+		return answer, nil
+	}
+	var refusal *keel.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
+	f.logFailure(to, r, err)
+	return nil, keel.Refuse(keel.MayHaveRun, streamReason(ctx), 0, "the answer of another instance could not be read")
+}
+
+// logFailure logs a failure of the transport while r was forwarded.
+func (f *Forwarder) logFailure(to netip.AddrPort, r *Request, err error) {
+	if f.Log != nil {
+		f.Log.WithError(err).WithFields(logrus.Fields{"request_id": r.ID, "peer": to.String()}).Info("forwarding failed")
+	}
 }
 
 func forwardEnvelope(r *Request) (keel.Envelope, error) {
@@ -132,12 +153,13 @@
 	}
 }
 
-func (x *exchange) answer(ctx context.Context, to netip.AddrPort) (*Answer, error) {
+// answer reads the beginning of the answer. The error is the [keel.Refusal] of the
+// other instance, or that of the stream.
+func (x *exchange) answer() (*Answer, error) {
 	var head answerHead
-	err := x.r.Read(&head)
-	if err != nil {
+	if err := x.r.Read(&head); err != nil {
 		x.abort()
-		return nil, keel.Refuse(keel.MayHaveRun, streamReason(ctx), 0, "read answer of instance at %s: %v", to, err)
+		return nil, errors.Wrap(err, "read answer")
 	}
 	if head.Refusal != nil {
 		x.abort()
@@ -260,7 +282,7 @@
 		}
 		var next chunk
 		if err := c.r.Read(&next); err != nil {
-			return 0, errors.Wrapf(io.ErrUnexpectedEOF, "next part of body: %v", err)
+			return 0, errors.Wrapf(io.ErrUnexpectedEOF, "next part of body: %v", redactError(err))
 		}
 		if next.Stalled {
 			return 0, ErrStalled
--- a/keelproxy/redact.go
+++ b/keelproxy/redact.go
@@ -14,13 +14,14 @@
 // errMalformed replaces errors of parsers, and errConnection network errors that
 // the system does not number.
 var (
-	errMalformed  = errors.New("the answer is malformed")
+	errMalformed  = errors.New("malformed data")
 	errConnection = errors.New("the connection failed")
 )
 
-// redactError returns what is known about a failed connection to an endpoint. Texts
-// of parsers quote unread bytes, which may be part of another caller's answer, and
-// those of network errors contain addresses. Neither is for callers or logs.
+// redactError returns what is known about a failed connection to an endpoint or
+// stream to another instance. Texts of parsers quote unread bytes, which may be part
+// of another caller's answer, and those of network errors contain addresses. Neither
+// is for callers.
 func redactError(err error) error {
 	if err == nil {
 		return nil
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -106,7 +106,7 @@
 func New(cfg Config) *Engine {
 	e := &Engine{
 		cfg:            cfg,
-		forward:        keelproxy.Forwarder{Transport: cfg.Transport},
+		forward:        keelproxy.Forwarder{Transport: cfg.Transport, Log: cfg.Log},
 		replan:         make(chan struct{}, 1),
 		rng:            rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
 		shares:         keelroute.NewShares(keelroute.SharesConfig{Self: cfg.Self.Name, FirstStart: cfg.FirstStart}),
