keelproxy: bytes of a request that can't be parsed are not logged

The detail of a refused request whose trailer was malformed held bytes of its body, in the log of entry instances, and that of a malformed header, such as a credential without a colon, in the log of serve. Bodies now fail with the kind of the error only; a malformed header is still explained to its caller, but not in the log.

--- a/keelproxy/body.go
+++ b/keelproxy/body.go
@@ -75,7 +75,7 @@
 	switch {
 	case errors.Is(err, ErrStalled):
 		return keel.ReasonRequestTimeout
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errConnection), errors.As(err, &network):
 		return keel.ReasonCallerGone
 	default:
 		return keel.ReasonBadRequest
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -312,7 +312,12 @@
 	}
 	fctx.SetConnectionClose()
 	f.cfg.Dialect.Refuse(fctx, refusal)
-	f.report(Result{Request: &Request{}, Status: refusal.Reason.Status(), Refusal: refusal})
+	reported := *refusal
+	if smallBuffer == nil {
+		// The caller may be told its own bytes, but they must not be logged.
+		reported.Detail = "request could not be read: " + redactError(err).Error()
+	}
+	f.report(Result{Request: &Request{}, Status: refusal.Reason.Status(), Refusal: &reported})
 }
 
 func (f *Front) report(res Result) {
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -184,10 +184,13 @@
 		// fasthttp returns io.EOF for a truncated stream as well.
 		return n, io.ErrUnexpectedEOF
 	}
-	if CleanEnd(err) {
+	switch {
+	case CleanEnd(err):
 		b.atEnd.Store(true)
-	} else if err != nil && b.conn.stalled.Load() {
+	case err != nil && b.conn.stalled.Load():
 		err = ErrStalled
+	default:
+		err = redactError(err)
 	}
 	return n, err
 }
--- a/keelproxy/redact.go
+++ b/keelproxy/redact.go
@@ -18,10 +18,10 @@
 	errConnection = errors.New("the connection failed")
 )
 
-// redactError returns what is known about a failed connection to an endpoint or
-// stream to another instance. Texts of parsers quote unread bytes, which may be part
-// of another caller's answer, and those of network errors contain addresses. Neither
-// is for callers.
+// redactError returns what is known about a failed connection to an endpoint or a
+// caller, or stream to another instance. Texts of parsers quote unread bytes, which
+// may be part of another caller's answer or of a body, and those of network errors
+// contain addresses. Neither is for callers or for the log of requests.
 func redactError(err error) error {
 	if err == nil {
 		return nil
