keelsync: parts of the state grow again after failed polls

An instance that starts before the voters do, as after a loss of power everywhere, fails its first polls. Each of them halved the parts of the state and their limit, down to 4 KiB, for the whole transfer: 3 MB then take 750 round trips, 19 s between regions. Parts are still doubled only up to the size after the last failure, but now grow by 4 KiB from there on, as in congestion avoidance.

--- a/keelsync/download.go
+++ b/keelsync/download.go
@@ -19,9 +19,10 @@
 	size int
 	// from is the voter that sent the last part.
 	from keel.InstanceName
-	// partBytes is the size of the next part, and partLimit its limit. The size is
-	// halved after a failed poll, which sets the limit, and doubled after a full
-	// part.
+	// partBytes is the size of the next part. It is halved after a failed poll. After
+	// a full part it is doubled up to partLimit, the size after the last failure, and
+	// increased by minPartBytes from there on, since the failure may have had another
+	// cause than the size.
 	partBytes, partLimit int
 	// failed is the number of failed polls since the last answer.
 	failed int
@@ -43,7 +44,7 @@
 	d.blob.id, d.size, d.from = p.ID, p.Size, from
 	d.blob.data = append(d.blob.data, p.Data...)
 	if len(p.Data) >= d.partBytes {
-		d.partBytes = min(2*d.partBytes, d.partLimit)
+		d.growPart()
 	}
 	if len(d.blob.data) < d.size {
 		return nil, nil
@@ -54,6 +55,15 @@
 	return &b, nil
 }
 
+// growPart increases the size of parts after a full one.
+func (d *download) growPart() {
+	size := d.partBytes + minPartBytes
+	if d.partBytes < d.partLimit {
+		size = min(2*d.partBytes, d.partLimit)
+	}
+	d.partBytes = min(size, maxPartBytes)
+}
+
 // drop discards the received parts.
 func (d *download) drop() {
 	d.blob, d.size, d.from = blob{}, 0, ""
--- a/keelsync/overload_test.go
+++ b/keelsync/overload_test.go
@@ -6,10 +6,13 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelsync"
 	"github.com/greengagekeel/greengagekeel/keelworld"
 	"github.com/matryer/is"
@@ -61,23 +64,31 @@
 // followerOver starts a follower that receives answers over a link.
 func (w *cluster) followerOver(link *narrowLink, name string) *keelsync.Follower {
 	network := w.hub.Join(keel.InstanceName(name), addrOf(name))
+	return w.followerVia(narrowTransport{network, link}, network, name)
+}
+
+// followerVia starts a follower that sends its calls through tr.
+func (w *cluster) followerVia(tr keel.Transport, network *keelpeer.MemoryTransport, name string) *keelsync.Follower {
 	f := keelsync.NewFollower(keelsync.FollowerConfig{
 		Self: keelworld.Node{
 			Name: keel.InstanceName(name), Incarnation: 1, Domain: "d0", Region: "r",
 			Caller: netip.AddrPortFrom(netip.MustParseAddr(name), 80), Up: true,
 		},
-		Network: narrowTransport{network, link}, PeerPort: peerPort, Seeds: w.seeds, Log: w.log,
+		Network: tr, PeerPort: peerPort, Seeds: w.seeds, Log: w.log,
 	})
 	w.run(name, network, f.Run)
 	return f
 }
 
 // largePatch has n items with about 370 bytes each that can't be compressed.
-func largePatch(n int) *keelworld.Command {
-	random := rand.NewChaCha8([32]byte{1})
+func largePatch(n int) *keelworld.Command { return largePatchFrom(0, n) }
+
+// largePatchFrom is like largePatch, with items that are numbered from first on.
+func largePatchFrom(first, n int) *keelworld.Command {
+	random := rand.NewChaCha8([32]byte{1, byte(first)})
 	var p keelworld.Patch
 	for i := range n {
-		it := item(fmt.Sprintf("item-%d", i), 1)
+		it := item(fmt.Sprintf("item-%d", first+i), 1)
 		it.Source = make([]byte, 340)
 		_, _ = random.Read(it.Source) // never fails
 		p.Items = append(p.Items, it)
@@ -122,6 +133,44 @@
 	w.waitFor("the follower has the change", func() bool { return f.View().Services["b"] != nil })
 }
 
+// failingTransport fails its first calls and counts the others.
+type failingTransport struct {
+	keel.Transport
+	failures int
+	calls    atomic.Int64
+}
+
+func (f *failingTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
+	if f.failures > 0 { // only the run group of one follower calls
+		f.failures--
+		return keel.Envelope{}, errors.New("unreachable")
+	}
+	f.calls.Add(1)
+	return f.Transport.Call(ctx, to, e)
+}
+
+// An instance starts before the voters do, as after a loss of power everywhere. The
+// polls that fail until then say nothing about its link, and must not keep the parts
+// of the state so small that it takes longer than an instance has to catch up.
+func TestLargeStateAfterUnreachableVoters(t *testing.T) {
+	const (
+		batches   = 6 // 3 MB
+		catchUp   = 6 * time.Second
+		roundTrip = 25 * time.Millisecond // between regions
+	)
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	for i := range batches {
+		w.submit(voters[names[0]], largePatchFrom(i*largeItems, largeItems))
+	}
+	network := w.hub.Join("10.0.1.1", addrOf("10.0.1.1"))
+	tr := &failingTransport{Transport: network, failures: 6}
+	f := w.followerVia(tr, network, "10.0.1.1")
+	w.waitFor("the follower has the state", func() bool { return len(f.View().Services) == batches*largeItems })
+	is.True(tr.calls.Load() < int64(catchUp/roundTrip))
+	t.Logf("%d calls", tr.calls.Load())
+}
+
 // Many instances start at once while voters can send the state to only one of
 // them within the time that a poll waits, and commands change the state
 // meanwhile. Each of them receives it.
