keelsteer: a failing endpoint gets no requests while others can serve them

Now every endpoint whose requests fail five times in a row is ejected as long as another instance or failure domain has slots for the service; when none has any more, only a third stays ejected. The ejection holds at once, not from the next plan on, and a failure domain without other endpoints is closed for the selector like one whose endpoints left, so that the existing diversion within the cap serves its callers.

TestOnlyEndpointFails (20 requests sent, want 5, for both faults) and TestEjectorWithAlternative failed.

--- a/keeladmit/endpoint.go
+++ b/keeladmit/endpoint.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// Eject stops new work to the endpoint until a time. A later [Queue.SetEndpoint]
+// replaces it.
+func (q *Queue) Eject(id keel.EndpointID, until time.Time) {
+	if e := q.find(id); e != nil {
+		e.ejectedUntil = until
+	}
+}
+
 // Remove stops new work to the endpoint, and deletes it once no request is in
 // flight there.
 func (q *Queue) Remove(id keel.EndpointID) {
--- a/keeladmit/next.go
+++ b/keeladmit/next.go
@@ -74,8 +74,8 @@
 const (
 	// OutcomeOK means that the endpoint sent a complete response.
 	OutcomeOK Outcome = iota
-	// OutcomeFailed means that the endpoint aborted its response or sent an
-	// invalid one.
+	// OutcomeFailed means that the endpoint aborted its response, sent an invalid
+	// one, or none for much longer than it normally takes.
 	OutcomeFailed
 	// OutcomeCancelled means that the request was cancelled. Its duration is not
 	// a latency of the endpoint.
--- a/keelroute/eject.go
+++ b/keelroute/eject.go
@@ -16,7 +16,8 @@
 	// n times as long, up to maxEjectionFactor times. Default 10 s.
 	BaseDuration time.Duration
 	// MaxFraction is the largest fraction of the endpoints that may be ejected
-	// at once. Default 0.34.
+	// at once, except for failures while there is an alternative to the pool; see
+	// [Ejector.SetAlternative]. Default 0.34.
 	MaxFraction float64
 	// SlowFactor ejects an endpoint whose mean latency exceeds that of the other
 	// endpoints by more than this factor. Default 5.
@@ -25,10 +26,13 @@
 
 // Ejector implements outlier ejection for the endpoints of one pool: endpoints
 // that fail repeatedly, or are much slower than the others, get no new work for
-// a while. The fraction of endpoints that are ejected at once is bounded.
+// a while. The fraction of endpoints that are ejected at once is bounded, unless
+// another pool can serve the requests.
 type Ejector struct {
 	cfg       EjectorConfig
 	endpoints []*endpointHealth
+	// alternative is whether another pool can serve the requests of this one.
+	alternative bool
 }
 
 type endpointHealth struct {
@@ -36,8 +40,11 @@
 	consecutiveFailures int
 	ejections           int
 	ejectedUntil        time.Time
-	meanLatency         float64
-	latencySamples      int
+	// excess is whether the ejection exceeds MaxFraction. It ends when there is no
+	// alternative to the pool.
+	excess         bool
+	meanLatency    float64
+	latencySamples int
 }
 
 const (
@@ -99,14 +106,14 @@
 	if !ok {
 		s.consecutiveFailures++
 		if s.consecutiveFailures >= e.cfg.ConsecutiveFailures {
-			e.eject(now, s)
+			e.eject(now, s, e.alternative)
 		}
 		return
 	}
 	s.consecutiveFailures = 0
 	s.observe(latency.Seconds())
 	if s.latencySamples >= minLatencySamples && s.meanLatency > e.cfg.SlowFactor*e.meanLatencyOfOthers(s) {
-		e.eject(now, s)
+		e.eject(now, s, false)
 	}
 }
 
@@ -132,8 +139,28 @@
 	return sum / float64(n)
 }
 
-func (e *Ejector) eject(now time.Time, s *endpointHealth) {
-	if now.Before(s.ejectedUntil) || e.countEjected(now)+1 > int(e.cfg.MaxFraction*float64(len(e.endpoints))) {
+// SetAlternative sets whether another pool can serve the requests of this one. While
+// it can, every endpoint that fails repeatedly is ejected, also the last one: its
+// requests are better refused, and sent to the other pool, than failed.
+func (e *Ejector) SetAlternative(now time.Time, ok bool) {
+	e.alternative = ok
+	if ok {
+		return
+	}
+	for _, s := range e.endpoints {
+		if s.excess && now.Before(s.ejectedUntil) {
+			s.ejectedUntil = now
+		}
+	}
+}
+
+// eject ejects an endpoint, within MaxFraction unless excess is allowed.
+func (e *Ejector) eject(now time.Time, s *endpointHealth, excessAllowed bool) {
+	if now.Before(s.ejectedUntil) {
+		return
+	}
+	s.excess = e.countEjected(now)+1 > int(e.cfg.MaxFraction*float64(len(e.endpoints)))
+	if s.excess && !excessAllowed {
 		return
 	}
 	s.ejections = min(s.ejections+1, maxEjectionFactor)
--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -268,6 +268,41 @@
 	is.Equal([]float64{ramp.SlotFraction(epoch, views[0].ID), ramp.SlotFraction(epoch.Add(10*time.Second), views[0].ID), ramp.SlotFraction(epoch, views[1].ID)}, []float64{0.25, 0.625, 1})
 }
 
+// Every endpoint of a pool fails. As long as another pool can serve the requests none
+// of them is used, and after that most of them are again.
+func TestEjectorWithAlternative(t *testing.T) {
+	for _, n := range []int{1, 2, 6} {
+		is := is.New(t)
+		e := keelroute.NewEjector(keelroute.EjectorConfig{})
+		views := endpointViews(n)
+		for i := range views {
+			e.Add(views[i].ID)
+		}
+		ejected := func() (out int) {
+			for i := range views {
+				if e.Ejected(epoch, views[i].ID) {
+					out++
+				}
+			}
+			return out
+		}
+		fail := func() {
+			for range 10 {
+				for i := range views {
+					e.Observe(epoch, views[i].ID, false, time.Millisecond)
+				}
+			}
+		}
+		fail()
+		is.Equal(ejected(), n/3)
+		e.SetAlternative(epoch, true)
+		fail()
+		is.Equal(ejected(), n)
+		e.SetAlternative(epoch, false)
+		is.Equal(ejected(), n/3)
+	}
+}
+
 func FuzzDigest(f *testing.F) {
 	s := newShares(10, time.Minute)
 	s.SetTarget(epoch, gallery, only("a"))
--- a/keelsteer/closed.go
+++ b/keelsteer/closed.go
@@ -59,13 +59,15 @@
 	e.shares.OpenDomain(now, key.selector, key.domain)
 }
 
-// hasEndpoint reports whether a failure domain has an endpoint for a selector.
+// hasEndpoint reports whether a failure domain has an endpoint for a selector that
+// is not ejected.
 // Other domains report only the slots of a service, not which selectors their
 // endpoints match. An unreachable domain counts as having one:
 // updateLostDomains handles it as lost, not as closed.
 func (e *Engine) hasEndpoint(p *plan, sel *keel.Selector, domain keel.DomainName) bool {
 	if domain == e.cfg.Self.Domain {
-		return len(p.owners[sel.Name]) > 0
+		capacity, _, _ := e.domainCapacity(p, sel.Service, domain)
+		return len(p.owners[sel.Name]) > 0 && capacity.Slots > 0
 	}
 	return !p.reachable(domain) || capacityOf(p.view.domain(domain).Capacities, sel.Service).Slots > 0
 }
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -30,7 +30,7 @@
 	outcome := keeladmit.OutcomeFailed
 	switch {
 	case x.ctx.Err() != nil, callersFault(refusal.Reason):
-		outcome = keeladmit.OutcomeCancelled
+		outcome = x.abortedOutcome()
 		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	case refusal.Verdict == keel.MayHaveRun:
 		x.e.cfg.Guard.ConnectionBroke(x.fp, x.target.ID)
@@ -41,6 +41,20 @@
 	x.end(outcome)
 }
 
+// stallFactor is the multiple of the mean service time after which a request that
+// ran into its deadline counts as a failure of the endpoint.
+const stallFactor = 5
+
+// abortedOutcome returns the outcome of a request that was aborted before its answer
+// ended. A deadline is no evidence against the endpoint unless answers normally take
+// much less time.
+func (x *dispatchedRequest) abortedOutcome() keeladmit.Outcome {
+	if x.ctx.Err() == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
+		return keeladmit.OutcomeFailed
+	}
+	return keeladmit.OutcomeCancelled
+}
+
 // callersFault reports whether a request failed because of its caller. Such a
 // failure is no evidence against the endpoint.
 func callersFault(reason keel.Reason) bool {
@@ -103,7 +117,7 @@
 		b.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
 	case b.err != nil:
 		b.e.cfg.Guard.Abandoned(b.fp, b.target.ID)
-		b.end(keeladmit.OutcomeCancelled)
+		b.end(b.abortedOutcome())
 	default:
 		b.e.cfg.Guard.Answered(b.fp, b.target.ID)
 		b.end(keeladmit.OutcomeOK)
--- a/keelsteer/engine_test.go
+++ b/keelsteer/engine_test.go
@@ -39,6 +39,10 @@
 	// endpoints.
 	idle    []string
 	leaving map[keel.InstanceName]bool
+	// endpoint is the address of the endpoints, and farSlots are the slots that the
+	// domain far reports for each service.
+	endpoint netip.AddrPort
+	farSlots int
 	// ran counts the requests that reached each simulated instance. If verdicts
 	// is not empty, these requests fail with its elements in turn.
 	mu       sync.Mutex
@@ -50,7 +54,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &world{
-		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Log: log}), log: logrus.NewEntry(log), services: 1, idle: []string{"a"},
+		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Log: log}), log: logrus.NewEntry(log), services: 1, idle: []string{"a"}, endpoint: netip.MustParseAddrPort("10.1.0.1:80"),
 		leaving: map[keel.InstanceName]bool{}, ran: map[keel.InstanceName]int{},
 	}
 }
@@ -79,7 +83,7 @@
 		}},
 	}
 	for i := range w.services {
-		d.Services = append(d.Services, keel.Service{Name: w.service(i), AnnounceFrom: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}})
+		d.Services = append(d.Services, keel.Service{Name: w.service(i), AnnounceFrom: []netip.Prefix{netip.PrefixFrom(w.endpoint.Addr(), 8)}})
 		d.Selectors = append(d.Selectors, keel.Selector{
 			Name: keel.SelectorName(w.service(i)), Service: w.service(i), Class: keel.ClassLive, Deadline: keel.Duration(time.Minute),
 			Cap: keel.ShiftCap{Percent: w.cap, Window: keel.Duration(time.Hour)}, Weights: w.weights,
@@ -101,6 +105,9 @@
 		}
 		near.Members = append(near.Members, m)
 	}
+	for i := range w.services {
+		far.Capacities = append(far.Capacities, keelsteer.ServiceCapacity{Service: w.service(i), Slots: w.farSlots, Free: w.farSlots})
+	}
 	return &keelsteer.View{Domains: []keelsteer.Domain{near, far}}
 }
 
@@ -153,7 +160,7 @@
 	})
 	for i := range w.services {
 		fs := endpoints.Announce(keel.Announcement{
-			Service: w.service(i), Name: "e", Address: netip.MustParseAddrPort("10.1.0.1:80"), Slots: 4, Incarnation: 1,
+			Service: w.service(i), Name: "e", Address: w.endpoint, Slots: 4, Incarnation: 1,
 			State: keel.EndpointServing, TTL: keel.MaxAnnounceTTL,
 		})
 		if len(fs) > 0 {
@@ -167,8 +174,12 @@
 			Self: self, Transport: tr, Clock: clock, Log: w.log, Secret: []byte("secret"), Domains: func() []keel.DomainName { return nil },
 			Holders: func(keel.DomainName) []keelclaim.Set { return nil },
 		}),
-		Guard: keelguard.New(keelguard.Config{Self: self, Transport: tr, Clock: clock, Log: w.log}),
-		Log:   w.log, LookupTTL: time.Second, FirstStart: true,
+		Guard: keelguard.New(keelguard.Config{
+			Self: self, Transport: tr, Clock: clock, Log: w.log,
+			Peers: func() []keel.InstanceName { return nil }, Homes: func() []keel.InstanceName { return nil },
+			Lifted: func() []string { return nil },
+		}),
+		Log: w.log, LookupTTL: time.Second, FirstStart: true,
 	}), tr
 }
 
--- /dev/null
+++ b/keelsteer/failing_test.go
@@ -0,0 +1,107 @@
+package keelsteer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelsteer"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+)
+
+// failingEndpoint is an endpoint that begins an answer and then closes the
+// connection, or keeps it open without sending the rest.
+type failingEndpoint struct {
+	net.Listener
+	stalls   bool
+	requests atomic.Int64
+}
+
+func (f *failingEndpoint) run() {
+	for {
+		c, err := f.Accept()
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			f.requests.Add(1)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeel-Request-Id: %s\r\nContent-Length: 50\r\n\r\npart", r.Header.Get(keelproxy.HeaderRequestID))
+		}
+		if !f.stalls {
+			_ = c.Close()
+		}
+	}
+}
+
+// failAt runs a request that fails at the endpoint, or is refused as not run.
+func failAt(is *is.I, e *keelsteer.Engine, id string) {
+	is.Helper()
+	a, err := e.RunRequest(context.Background(), &keelproxy.Request{
+		ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: 300 * time.Millisecond,
+	})
+	if err != nil {
+		is.Equal(keel.VerdictOf(err), keel.NotRun)
+		return
+	}
+	_, err = io.ReadAll(a.Body)
+	is.True(err != nil)
+	_ = a.Body.Close()
+}
+
+// runningEngine returns the engine of an instance, which runs until the test ends.
+func (w *world) runningEngine(name keel.InstanceName) *keelsteer.Engine {
+	e, _ := w.engine(name)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = e.Run(ctx) })
+	w.t.Cleanup(func() { cancel(); group.Wait() })
+	return e
+}
+
+// The only endpoint of a failure domain breaks off every answer, or stalls. If
+// another domain has slots, the endpoint soon gets no more requests, which are
+// refused as not run instead of failing. If not, it goes on getting them.
+func TestOnlyEndpointFails(t *testing.T) {
+	const requests = 20
+	for _, tt := range []struct {
+		name     string
+		stalls   bool
+		farSlots int
+		sent     int64
+	}{
+		{"breaks off", false, 4, 5},
+		{"stalls", true, 4, 5},
+		{"breaks off, no slots elsewhere", false, 0, requests},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			f := &failingEndpoint{Listener: ln, stalls: tt.stalls}
+			go f.run()
+			t.Cleanup(func() { _ = ln.Close() })
+			w := newWorld(t)
+			w.idle, w.farSlots = []string{"b", "c"}, tt.farSlots
+			w.weights = []keel.DomainWeight{{Domain: "near", Weight: 1}}
+			w.endpoint = ln.Addr().(*net.TCPAddr).AddrPort()
+			e := w.runningEngine("a")
+			for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
+				failAt(is, e, fmt.Sprint("first-", i))
+			}
+			for i := range requests - 1 {
+				failAt(is, e, fmt.Sprint("request-", i))
+			}
+			is.Equal(f.requests.Load(), tt.sent)
+		})
+	}
+}
--- a/keelsteer/plan.go
+++ b/keelsteer/plan.go
@@ -199,11 +199,30 @@
 		}
 	}
 	for service, pl := range e.pools {
-		pl.setEndpoints(now, ownEndpoints[service])
+		pl.setEndpoints(now, ownEndpoints[service], e.hasAlternative(p, service))
 	}
 	e.recordDrainedEndpoints(now, ownEndpoints)
 }
 
+// hasAlternative reports whether endpoints of a service that this instance does not
+// own accept work, in the own failure domain or in another one.
+func (e *Engine) hasAlternative(p *plan, service keel.ServiceName) bool {
+	for i := range p.view.Domains {
+		d := &p.view.Domains[i]
+		switch {
+		case d.Name == e.cfg.Self.Domain:
+			if slices.ContainsFunc(d.Members, func(m Member) bool {
+				return m.Instance.Name != e.cfg.Self.Name && !m.Leaving && !m.Suspect && capacityOf(m.Capacities, service).Slots > 0
+			}) {
+				return true
+			}
+		case d.Reachable() && !p.hasDrainLabel(keel.TargetDomain, string(d.Name), nil) && capacityOf(d.Capacities, service).Slots > 0:
+			return true
+		}
+	}
+	return false
+}
+
 // recordDrainedEndpoints completes the drain of owned endpoints that have no
 // requests in flight.
 func (e *Engine) recordDrainedEndpoints(now time.Time, ownEndpoints map[keel.ServiceName][]ownedEndpoint) {
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -102,6 +102,7 @@
 	p.queue.Done(now, id, o, latency)
 	if o != keeladmit.OutcomeCancelled {
 		p.ejector.Observe(now, id, o == keeladmit.OutcomeOK, latency)
+		p.queue.Eject(id, p.ejector.Until(id))
 	}
 	p.startNext(now)
 }
@@ -147,10 +148,12 @@
 }
 
 // setEndpoints replaces the endpoints of the pool. A removed endpoint stays in
-// targets until its last request ends.
-func (p *pool) setEndpoints(now time.Time, list []ownedEndpoint) {
+// targets until its last request ends. alternative is whether endpoints outside the
+// pool can serve its requests.
+func (p *pool) setEndpoints(now time.Time, list []ownedEndpoint, alternative bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ejector.SetAlternative(now, alternative)
 	kept := make(map[keel.EndpointID]bool, len(list))
 	for _, o := range list {
 		kept[o.state.ID] = true
