keelsync: a poll on a congested link stays pending while other voters are polled

Each poll was given up after 0.9 s and the answer dropped that was still on its way; the next ones went to voters to which a connection had first to be opened, which took longer than the poll ("peer can't be reached, context deadline exceeded" of each third poll). As soon as the link was free an answer took 0.2 s.

While polls fail, every second one goes to the voter that answered last. An answer that came late confirms the view as of the time of its poll.

--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -12,6 +12,7 @@
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelworld"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"github.com/zeebo/xxh3"
 )
 
@@ -38,13 +39,10 @@
 	// feedAnswerTimeout is how long an answer may take beyond feedWait: several
 	// round trips between regions.
 	feedAnswerTimeout = 500 * time.Millisecond
-	// congestedAnswerTimeout is how long an answer may take after failed polls of two
-	// voters, which means that the link of this instance is congested. It is less
-	// than nodeSilenceTimeout, so that the instance stays listed.
-	congestedAnswerTimeout = 1400 * time.Millisecond
-	// congestedPolls is the number of failed polls after which the link counts as
-	// congested.
-	congestedPolls = 2
+	// maxAnswerTimeout limits the growth of feedAnswerTimeout after failed polls. It is
+	// less than nodeSilenceTimeout, so that an instance on a congested link stays
+	// listed.
+	maxAnswerTimeout = 1400 * time.Millisecond
 	// firstAnswerTimeout is how long an answer may take while the state is empty:
 	// a handshake and some round trips between regions. It is short because any
 	// voter can send a snapshot, so that another one is polled soon if this one is
@@ -77,13 +75,21 @@
 	voters []keelworld.Node
 	// failedAt is when the last poll of a voter failed or returned a stale answer.
 	failedAt map[keel.InstanceName]time.Time
-	// contact is the contact with the voters as logged last, and download the blob
-	// that is being received. Only Run uses them.
-	contact  contactLog
-	download download
 	// cancelPoll cancels the current poll, so that the next one carries a change
 	// of self.
 	cancelPoll context.CancelFunc
+
+	// contact is the contact with the voters as logged last, and download the blob
+	// that is being received. Only Run uses them and the following fields.
+	contact  contactLog
+	download download
+	// pending are the polls whose answers are awaited, oldest first, and polled
+	// receives those that ended.
+	pending []*pendingPoll
+	polled  chan *pendingPoll
+	calls   conc.WaitGroup
+	// answered is the voter that answered last.
+	answered keel.InstanceName
 }
 
 // NewFollower returns a follower with an empty state.
@@ -91,7 +97,7 @@
 	f := &Follower{
 		cfg: cfg, self: cfg.Self, seeds: cfg.Seeds, failedAt: map[keel.InstanceName]time.Time{},
 		state: keelworld.NewState(), start: time.Now(), firstSeed: xxh3.HashString(string(cfg.Self.Name)),
-		download: download{partBytes: firstPartBytes, partLimit: maxPartBytes},
+		download: download{partBytes: firstPartBytes, partLimit: maxPartBytes}, polled: make(chan *pendingPoll),
 	}
 	f.view.Store(f.state.View())
 	f.freshAt.Store(-int64(time.Hour))
@@ -126,84 +132,9 @@
 	f.seeds = seeds
 }
 
-// Run polls the voters until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := f.poll(ctx)
-		f.logContact(err)
-		if err != nil && ctx.Err() == nil {
-			f.cfg.Log.WithError(err).Debug("poll of a voter failed")
-			select {
-			case <-ctx.Done():
-			case <-time.After(feedRetryDelay):
-			}
-		}
-	}
-	return nil
-}
-
-// poll requests updates from one voter and applies its answer.
-func (f *Follower) poll(ctx context.Context) error {
-	wait, limit := f.pollTimes()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	f.mu.Lock()
-	name := f.download.from
-	if name == "" {
-		name = f.chooseVoter(time.Now())
-	}
-	r := feedRequest{
-		Node: f.self, After: f.state.Index(), Wait: wait,
-		PartBytes: f.download.partBytes, Blob: f.download.blob.id, Offset: len(f.download.blob.data),
-	}
-	f.cancelPoll = cancel
-	f.mu.Unlock()
-	to, ok := PeerAddress(name, f.cfg.PeerPort)
-	if !ok {
-		f.markFailed(name)
-		return errors.Errorf("name of voter %q is not an IP address", name)
-	}
-	body, err := keel.EncodeCBOR(&r)
-	if err != nil {
-		return err
-	}
-	e, err := f.cfg.Network.Call(ctx, to, keel.Envelope{Kind: keel.KindFeed, Body: body})
-	if err != nil {
-		f.mu.Lock()
-		selfChanged := f.self != r.Node
-		f.mu.Unlock()
-		if !selfChanged {
-			f.markFailed(name)
-			f.download.fail()
-		}
-		return errors.Wrapf(err, "poll voter %s", name)
-	}
-	var a feedAnswer
-	if err := keel.DecodeCBOR(e.Body, &a); err != nil {
-		f.markFailed(name)
-		return err
-	}
-	f.download.failed = 0
-	return f.applyAnswer(&a, name)
-}
-
-// pollTimes returns how long a voter may hold the next poll, and its time limit.
-func (f *Follower) pollTimes() (wait, limit time.Duration) {
-	shift := f.download.limitShift()
-	switch {
-	case f.download.active():
-		return 0, feedAnswerTimeout << shift
-	case f.state.Index() == 0:
-		return 0, firstAnswerTimeout << shift
-	case f.download.failed >= congestedPolls:
-		return 0, congestedAnswerTimeout
-	default:
-		return feedWait, feedWait + feedAnswerTimeout
-	}
-}
-
-// applyAnswer applies the answer of a voter and publishes the new view.
-func (f *Follower) applyAnswer(a *feedAnswer, name keel.InstanceName) error {
+// applyAnswer applies the answer to a poll and publishes the new view.
+func (f *Follower) applyAnswer(p *pendingPoll) error {
+	a, name := &p.answer, p.voter
 	content := &feedContent{Entries: a.Entries, Snapshot: a.Snapshot}
 	if a.Part != nil {
 		var err error
@@ -223,13 +154,15 @@
 	if len(a.Voters) > 0 {
 		f.voters = a.Voters
 	}
+	delete(f.failedAt, name)
 	f.mu.Unlock()
 	if a.Stale {
 		f.markFailed(name)
 		return errors.Errorf("voter %s has no leader or lags behind", name)
 	}
+	f.answered = name
 	if a.Part == nil { // a blob may be older than the state of the voter
-		f.freshAt.Store(int64(time.Since(f.start)))
+		f.freshAt.Store(max(f.freshAt.Load(), int64(p.confirmedAt(time.Now()).Sub(f.start))))
 	}
 	return nil
 }
@@ -267,8 +200,13 @@
 }
 
 // chooseVoter returns the voter to poll: the nearest one that has not failed
-// recently, or else the one that failed longest ago. The caller holds mu.
+// recently, or else the one that failed longest ago. While polls fail, every second
+// one goes to the voter that answered last: there is a connection to it, and opening
+// one takes long on a congested link. The caller holds mu.
 func (f *Follower) chooseVoter(now time.Time) keel.InstanceName {
+	if n := f.download.failed; n > 0 && n%2 == 0 && f.answered != "" {
+		return f.answered
+	}
 	var oldest keel.InstanceName
 	for _, name := range f.candidates() {
 		at, failed := f.failedAt[name]
--- a/keelsync/overload_test.go
+++ b/keelsync/overload_test.go
@@ -133,6 +133,54 @@
 	w.waitFor("the follower has the change", func() bool { return f.View().Services["b"] != nil })
 }
 
+// congestedTransport reaches only peers that were called before its link became
+// congested. Their answers are late from then on.
+type congestedTransport struct {
+	keel.Transport
+	mu        sync.Mutex
+	congested bool
+	connected map[netip.AddrPort]bool
+}
+
+func (c *congestedTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
+	c.mu.Lock()
+	congested := c.congested
+	if !congested {
+		c.connected[to] = true
+	}
+	connected := c.connected[to]
+	c.mu.Unlock()
+	if !connected {
+		<-ctx.Done()
+		return keel.Envelope{}, ctx.Err()
+	}
+	answer, err := c.Transport.Call(ctx, to, e)
+	if congested && err == nil {
+		link := narrowLink{bytesPerSecond: narrowRate, delay: 1500 * time.Millisecond}
+		err = link.transfer(ctx, len(answer.Body))
+	}
+	return answer, err
+}
+
+// The link of an instance becomes so congested that answers take longer than any
+// poll waits and that no connection can be opened. The instance still receives
+// changes from the voter to which it has a connection.
+func TestFollowerKeepsConnectionOnCongestedLink(t *testing.T) {
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], patch(item("a", 1)))
+	network := w.hub.Join("10.0.1.1", addrOf("10.0.1.1"))
+	tr := &congestedTransport{Transport: network, connected: map[netip.AddrPort]bool{}}
+	f := w.followerVia(tr, network, "10.0.1.1")
+	w.waitFor("the follower follows", func() bool { return f.View().Services["a"] != nil })
+	tr.mu.Lock()
+	tr.congested = true
+	tr.mu.Unlock()
+	w.submit(voters[names[0]], patch(item("b", 1)))
+	w.waitFor("the follower has the first change", func() bool { return f.View().Services["b"] != nil })
+	w.submit(voters[names[0]], patch(item("c", 1)))
+	w.waitFor("the follower has the second change", func() bool { return f.View().Services["c"] != nil })
+}
+
 // failingTransport fails its first calls and counts the others.
 type failingTransport struct {
 	keel.Transport
