keelroute: the last endpoints of a pool are ejected after ten failures in a row

An endpoint that fails half of its requests fails five in a row every few dozen requests. Ejecting the only endpoint of a pool for that refuses callers whom the cap on shift does not let another failure domain serve. Ten in a row are needed for an ejection beyond the usual third.

go test ./keelroute ./keelsteer is green.

--- a/keelroute/eject.go
+++ b/keelroute/eject.go
@@ -56,6 +56,11 @@
 	// maxEjectionFactor is the largest multiple of EjectorConfig.BaseDuration
 	// that an ejection lasts.
 	maxEjectionFactor = 6
+	// excessFactor is the multiple of EjectorConfig.ConsecutiveFailures after which an
+	// endpoint is ejected beyond MaxFraction. An endpoint that fails only some of
+	// its requests rarely reaches it: it serves more callers than a cap on shift may
+	// let another pool serve.
+	excessFactor = 2
 )
 
 // NewEjector returns an ejector for an empty pool.
@@ -106,7 +111,7 @@
 	if !ok {
 		s.consecutiveFailures++
 		if s.consecutiveFailures >= e.cfg.ConsecutiveFailures {
-			e.eject(now, s, e.alternative)
+			e.eject(now, s, e.alternative && s.consecutiveFailures >= excessFactor*e.cfg.ConsecutiveFailures)
 		}
 		return
 	}
@@ -140,8 +145,8 @@
 }
 
 // SetAlternative sets whether another pool can serve the requests of this one. While
-// it can, every endpoint that fails repeatedly is ejected, also the last one: its
-// requests are better refused, and sent to the other pool, than failed.
+// it can, every endpoint that fails all its requests is ejected, also the last one:
+// they are better refused, and sent to the other pool, than failed.
 func (e *Ejector) SetAlternative(now time.Time, ok bool) {
 	e.alternative = ok
 	if ok {
