keelinstance: waitMetrics reports the missing counter before the time limit

TestCallerRefusals once waited until the limit of the test run, which ended the process without naming the counter, and without the output of subtests that may have failed before. The wait now ends 30 s before the limit, or at once if the test has failed already. What it waits for is unchanged.

go test ./keelinstance -run TestCallerRefusals -count 5 is green; with -timeout 20s it fails with the name of a counter.

--- a/keelinstance/refusal_contract_test.go
+++ b/keelinstance/refusal_contract_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelstandin"
@@ -51,6 +52,10 @@
 	}
 }
 
+// reportTime is left for the report of a failure before the time limit of the test
+// run, which ends the process without the output of failed subtests.
+const reportTime = 30 * time.Second
+
 // waitMetrics scrapes the metrics until they contain every line, since counters are
 // reported periodically.
 func (s *system) waitMetrics(t *testing.T, lines ...string) {
@@ -66,8 +71,8 @@
 		if missing == "" {
 			return
 		}
-		if t.Context().Err() != nil {
-			t.Fatalf("metrics did not contain %s", missing)
+		if deadline, ok := t.Deadline(); t.Failed() || ok && time.Until(deadline) < reportTime {
+			t.Fatalf("metrics did not contain %s:\n%s", missing, text)
 		}
 	}
 }
