--- a/keelsteer/closed.go
+++ b/keelsteer/closed.go
@@ -60,9 +60,8 @@
 }
 
 // hasEndpoint reports whether a failure domain has an endpoint for a selector that
-// is not ejected.
-// Other domains report only the slots of a service, not which selectors their
-// endpoints match. An unreachable domain counts as having one:
+// is not ejected. Other domains report only the slots of a service, not which
+// selectors their endpoints match. An unreachable domain counts as having one:
 // updateLostDomains handles it as lost, not as closed.
 func (e *Engine) hasEndpoint(p *plan, sel *keel.Selector, domain keel.DomainName) bool {
 	if domain == e.cfg.Self.Domain {
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -21,6 +21,8 @@
 	target keelproxy.Target
 	fp     keelguard.ID
 	start  time.Time
+	// hasBody is whether the request has a body, which its caller may send slowly.
+	hasBody bool
 }
 
 // failed ends a request that got no complete answer and reports the failure to
@@ -47,9 +49,9 @@
 
 // abortedOutcome returns the outcome of a request that was aborted before its answer
 // ended. A deadline is no evidence against the endpoint unless answers normally take
-// much less time.
+// much less time and no body had to arrive from the caller.
 func (x *dispatchedRequest) abortedOutcome() keeladmit.Outcome {
-	if x.ctx.Err() == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
+	if !x.hasBody && x.ctx.Err() == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
 		return keeladmit.OutcomeFailed
 	}
 	return keeladmit.OutcomeCancelled
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -238,7 +238,9 @@
 // dispatch sends the request to an endpoint whose slot it holds. The slot is
 // released when the answer ends.
 func (e *Engine) dispatch(ctx context.Context, pl *pool, t keelproxy.Target, r *keelproxy.Request) (*keelproxy.Answer, error) {
-	x := &observedBody{dispatchedRequest: dispatchedRequest{e: e, ctx: ctx, pool: pl, target: t, fp: keelguard.ID(r.Fingerprint), start: time.Now()}}
+	x := &observedBody{dispatchedRequest: dispatchedRequest{
+		e: e, ctx: ctx, pool: pl, target: t, fp: keelguard.ID(r.Fingerprint), start: time.Now(), hasBody: r.HasBody(),
+	}}
 	e.cfg.Guard.Dispatched(x.fp, t.ID)
 	answer, err := e.client.Dispatch(ctx, t, r)
 	if err != nil {
