keelplace: look-ups add instances of the region while most of a domain restarts

Nine of eleven entry instances of a failure domain were restarted at about the same time. The look-ups of all its callers named the two that were left, which got up to 95 requests a second each while others got 1 to 10: their answers came seconds late or not at all, and they lost contact with the voters for 3 s. An answer is now filled up to the average of the region's domains from the other domains if the domain has less than half of that.

--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -234,7 +235,7 @@
 // Nearest returns the caller ports of the entry instances nearest to a caller in a
 // failure domain and a region, and how long the caller may cache them.
 func (in *Entry) Nearest(domain keel.DomainName, region keel.RegionName) ([]netip.AddrPort, time.Duration) {
-	addrs := keelplace.Nearest(in.follower.View().Nodes, domain, region)
+	addrs := keelplace.Nearest(in.follower.View().Nodes, domain, region, rand.Int())
 	return addrs, min(lookupTTL, in.cfg.Settings.Timing.LookupTTL())
 }
 
