keelentry: callers are moved away from an instance with a busy network link

After a rolling restart callers keep the connections that they have: the six of thirteen instances of a failure domain that were not restarted ended 70 to 86 requests a second each, the restarted ones 1 to 40. Their links of 1.4 Mbit/s were full, so that answers waited for 0.1 to 0.2 s in each direction, and the datagrams to the voters were lost for up to 4.7 s. It is the link and not the processor: without counted processor time the same instances lost contact.

An instance now measures the bytes on callers' and endpoints' connections against link_mbps of its settings. From two fifths on it closes callers' connections after an answer, so that they connect to any instance.

--- a/keelconfig/steer.go
+++ b/keelconfig/steer.go
@@ -57,7 +57,10 @@
 	DataDir   string    `json:"data_dir,omitempty"`
 	PeerTrust PeerTrust `json:"peer_trust"`
 	// MemoryMB is the memory that the process may use, in megabytes.
-	MemoryMB int         `json:"memory_mb,omitempty"`
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// LinkMbps is the rate of the instance's network link in each direction, in
+	// megabits per second; 0 means that it is not known.
+	LinkMbps float64     `json:"link_mbps,omitempty"`
 	Timing   SteerTiming `json:"timing"`
 	Bounds   SteerBounds `json:"bounds"`
 	LogLevel string      `json:"log_level,omitempty"`
@@ -170,6 +173,9 @@
 	if s.Timing.HeartbeatMS <= 0 || s.Timing.GraceS <= 0 || s.Timing.LookupTTLS <= 0 {
 		fs.Add("timing", "heartbeat_ms, grace_s and lookup_ttl_s must be more than 0")
 	}
+	if s.LinkMbps < 0 {
+		fs.Add("link_mbps", "is %v, must not be negative", s.LinkMbps)
+	}
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 || s.Bounds.MaxShift < 0 {
 		fs.Add("bounds", "must not be negative")
 	}
@@ -180,6 +186,10 @@
 // settings do not list the domain.
 func (s *SteerSettings) RegionOf(d keel.DomainName) keel.RegionName { return s.Regions[d] }
 
+// LinkBytesPerSecond returns the rate of the instance's network link in each
+// direction, or 0 if it is not known.
+func (s *SteerSettings) LinkBytesPerSecond() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // SeedAddrs returns the IP addresses of the seeds.
 func (s *SteerSettings) SeedAddrs() []netip.Addr {
 	addrs := make([]netip.Addr, len(s.Seeds))
--- a/keelconfig/steer_test.go
+++ b/keelconfig/steer_test.go
@@ -29,6 +29,7 @@
 		{"no caller port", `"caller":"10.0.0.1:1"`, `"caller":""`, "listen"},
 		{"no grace", `"grace_s":6`, `"grace_s":0`, "timing"},
 		{"unknown field", `"name"`, `"nick"`, "nick"},
+		{"negative link rate", `{"name"`, `{"link_mbps":-1,"name"`, "link_mbps"},
 		{"negative bound", `"retry_ratio":0.2`, `"retry_ratio":-1`, "bounds"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/keelentry/linkguard.go
@@ -0,0 +1,52 @@
+package keelentry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/greengagekeel/greengagekeel/keelplace"
+	"github.com/greengagekeel/greengagekeel/keelproxy"
+)
+
+// LinkConfig configures a [LinkGuard].
+type LinkConfig struct {
+	// Traffic counts the bytes that the link carries.
+	Traffic *keelproxy.Traffic
+	// BytesPerSecond is the rate of the link in each direction; 0 means that it is not
+	// known, and that no caller is moved.
+	BytesPerSecond float64
+}
+
+// LinkGuard keeps the network link of an instance from filling up while those of others
+// are free: it moves callers to them. It is safe for concurrent use.
+type LinkGuard struct {
+	cfg LinkConfig
+
+	mu   sync.Mutex
+	link *keelplace.Link
+}
+
+// NewLinkGuard returns the guard of an idle link.
+func NewLinkGuard(cfg LinkConfig) *LinkGuard {
+	return &LinkGuard{cfg: cfg, link: keelplace.NewLink(cfg.BytesPerSecond)}
+}
+
+// MoveCaller reports whether the connection of a request should be closed after its
+// answer. It is called for each request, and measures the utilization.
+func (g *LinkGuard) MoveCaller() bool {
+	now := time.Now()
+	received, sent := g.cfg.Traffic.Bytes()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link.Observe(now, received, sent)
+	return rand.Float64() < g.link.MoveFraction()
+}
+
+// Utilization returns the fraction of the link's rate that is used in the busier
+// direction.
+func (g *LinkGuard) Utilization() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.link.Utilization()
+}
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -26,6 +26,8 @@
 	Client *keelproxy.EndpointClient
 	// ReadFacts extracts the facts that an answer carries in its status and header.
 	ReadFacts func(a *keelproxy.Answer) Facts
+	// Link is the network link of the instance; its utilization is logged.
+	Link *LinkGuard
 	// Status returns the HTTP status with which a refusal is answered.
 	Status func(*keel.Refusal) int
 	// RetryBudget limits the retries of requests at other endpoints.
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -324,6 +324,7 @@
 		"ms": now.Sub(t.startedAt).Milliseconds(), "index": t.view.Index, "age_ms": t.runner.cfg.Age(now).Milliseconds(),
 		"endpoints": strings.Join(t.attempted, ","), "outcomes": strings.Join(t.outcomes, ","),
 		"expected_ms": t.lastChoice.Expected.Milliseconds(), "load": int(t.lastChoice.Load * 10), "warm": t.lastChoice.Cached, "rank": t.lastChoice.Rank, "wait_ms": t.lastChoice.Wait.Milliseconds(), "affinity": t.request.Affinity,
+		"link_percent": int(100 * t.runner.cfg.Link.Utilization()),
 	}
 	if refusal != nil {
 		f["verdict"], f["reason"], f["detail"] = refusal.Verdict.String(), refusal.Reason, refusal.Detail
--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -46,6 +46,7 @@
 	c.reads.Add(1)
 	n, err := c.Conn.Read(p)
 	c.reads.Add(1)
+	c.monitor.traffic.addReceived(n)
 	return n, err
 }
 
@@ -54,6 +55,7 @@
 	c.writes.Add(1)
 	n, err := c.Conn.Write(p)
 	c.writes.Add(1)
+	c.monitor.traffic.addSent(n)
 	return n, err
 }
 
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -47,6 +47,8 @@
 	Observer ConnObserver
 	// Dialect encodes the requests; nil means [DefaultDialect].
 	Dialect *Dialect
+	// Traffic counts the bytes of the connections; it may be nil.
+	Traffic *Traffic
 }
 
 // Defaults for zero fields of [ClientConfig].
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -61,6 +61,7 @@
 	s.conn.steps.Add(1)
 	n, err := s.conn.nc.Read(b)
 	s.conn.steps.Add(1)
+	s.conn.client.cfg.Traffic.addReceived(n)
 	return n, err
 }
 
@@ -72,6 +73,7 @@
 	n, err := s.conn.nc.Write(b)
 	s.conn.steps.Add(1)
 	s.conn.sent.Add(int64(n))
+	s.conn.client.cfg.Traffic.addSent(n)
 	return n, err
 }
 
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -49,6 +49,12 @@
 	BodyIdle time.Duration
 	// Clock is used for IdleTimeout and BodyIdle; nil means the system clock.
 	Clock clockwork.Clock
+	// MoveCaller reports whether a connection is closed after the answer to the
+	// request that it carries, so that its caller opens one to another instance. It is
+	// called for each request, concurrently. Nil means never.
+	MoveCaller func() bool
+	// Traffic counts the bytes of callers' connections; it may be nil.
+	Traffic *Traffic
 }
 
 // LookupPath is the path of look-ups on the caller port.
@@ -95,6 +101,7 @@
 	}
 	f := &Front{cfg: cfg, internalFields: cfg.Dialect.internalFields(), monitor: &callerMonitor{
 		idle: cfg.IdleTimeout, bodyIdle: cfg.BodyIdle, clock: cfg.Clock, conns: make(map[*callerConn]struct{}),
+		traffic: cfg.Traffic,
 	}}
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
@@ -153,7 +160,7 @@
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
 func (f *Front) handle(fctx *fasthttp.RequestCtx) {
-	if f.closeConns.Load() {
+	if f.closeConns.Load() || f.cfg.MoveCaller != nil && f.cfg.MoveCaller() {
 		fctx.SetConnectionClose()
 	}
 	if f.cfg.Lookup != nil && string(fctx.Path()) == LookupPath {
--- a/keelproxy/monitor.go
+++ b/keelproxy/monitor.go
@@ -25,6 +25,7 @@
 	// request; 0 means no limit.
 	bodyIdle time.Duration
 	clock    clockwork.Clock
+	traffic  *Traffic
 
 	// lastCheck is used only by the goroutine of Run.
 	lastCheck time.Time
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -71,6 +71,7 @@
 	follower       *keelsync.Follower
 	client         *keelproxy.EndpointClient
 	runner         *keelentry.Runner
+	link           *keelentry.LinkGuard
 	front          *keelproxy.Front
 	callerListener net.Listener
 	metrics        *metrics
@@ -94,8 +95,10 @@
 		},
 		Network: peer, PeerPort: s.PeerPort, Seeds: s.SeedAddrs(), Log: cfg.Log,
 	})
+	traffic := &keelproxy.Traffic{}
+	in.link = keelentry.NewLinkGuard(keelentry.LinkConfig{Traffic: traffic, BytesPerSecond: s.LinkBytesPerSecond()})
 	in.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{
-		DialTimeout: dialTimeout, IdleTimeout: endpointIdleTimeout, Dialect: cfg.Dialect,
+		DialTimeout: dialTimeout, IdleTimeout: endpointIdleTimeout, Dialect: cfg.Dialect, Traffic: traffic,
 	})
 	in.runner = keelentry.NewRunner(keelentry.Config{
 		Pool: keelplace.Config{
@@ -103,12 +106,14 @@
 			MaxShift: s.Bounds.MaxShift,
 		},
 		View: in.follower.View, Age: in.follower.Age, Client: in.client, ReadFacts: cfg.ReadFacts, Status: cfg.Status,
+		Link:        in.link,
 		RetryBudget: keelplace.RetryBudget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Log:         cfg.Log,
 	})
 	in.front = keelproxy.NewFront(keelproxy.FrontConfig{
 		Runner: in.runner, Dialect: cfg.Dialect, Log: cfg.Log, Report: in.metrics.recordRequest,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout, BodyIdle: bodyIdleTimeout,
+		MoveCaller: in.link.MoveCaller, Traffic: traffic,
 	})
 	in.callerListener, err = listen(s.Listen.Caller)
 	return in, err
@@ -183,6 +188,7 @@
 		"in_flight": float64(in.front.InFlight()), "view_index": float64(v.Index),
 		"view_age_seconds": in.follower.Age(time.Now()).Seconds(),
 		"endpoints":        float64(endpoints), "entry_instances": float64(len(v.Nodes)),
+		"link_utilization": in.link.Utilization(),
 	}
 }
 
