keelproxy, platform: answers that are cut at each byte

Tests for the report that a head that breaks off became a success: each answer is cut after each number of bytes, in the platform's and in the product's own dialect, behind another instance, and on the stream between instances. An answer without a length ends with its connection, so that only cuts within its head can be told.

--- a/keelproxy/faulty_endpoint_test.go
+++ b/keelproxy/faulty_endpoint_test.go
@@ -8,8 +8,10 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
@@ -96,6 +98,70 @@
 	}
 }
 
+// An endpoint closes the connection after each possible number of bytes of its answer.
+// Only the whole answer ends without an error, here and behind another instance.
+func TestAnswerCutAtEachByte(t *testing.T) {
+	for framing, answer := range map[string]string{
+		"length":  okHeader + "Content-Length: 5\r\n\r\nbytes",
+		"chunked": okHeader + "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"no body": okHeader + "Content-Length: 0\r\n\r\n",
+	} {
+		var size atomic.Int64
+		for via, runner := range runners(t, rawEndpoint(t, func(_ *http.Request, w io.Writer) bool {
+			send(w, answer[:size.Load()])
+			return false
+		})) {
+			t.Run(framing+"/"+via, func(t *testing.T) {
+				for n := range len(answer) + 1 {
+					size.Store(int64(n))
+					a, err := runner.RunRequest(t.Context(), newGetRequest())
+					if err == nil {
+						_, err = io.ReadAll(a.Body)
+						_ = a.Body.Close()
+					}
+					if (err == nil) != (n == len(answer)) {
+						t.Errorf("error %v after %q", err, answer[:n])
+					}
+				}
+			})
+		}
+	}
+}
+
+// A forwarded answer ends after each possible number of bytes that another instance
+// sends. Only the whole answer ends without an error.
+func TestForwardedAnswerCutAtEachByte(t *testing.T) {
+	is := is.New(t)
+	var whole []byte
+	for _, part := range []any{
+		struct {
+			Status        int   `cbor:"2,keyasint"`
+			ContentLength int64 `cbor:"4,keyasint"`
+		}{200, 5},
+		struct {
+			Data []byte `cbor:"1,keyasint"`
+		}{[]byte("bytes")},
+		struct {
+			Last bool `cbor:"2,keyasint"`
+		}{true},
+	} {
+		b, err := cbor.Marshal(part)
+		is.NoErr(err)
+		whole = append(whole, b...)
+	}
+	for n := range len(whole) + 1 {
+		f := keelproxy.Forwarder{Transport: brokenPeer{answer: string(whole[:n])}}
+		a, err := f.Forward(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), newGetRequest())
+		if err == nil {
+			_, err = io.ReadAll(a.Body)
+			_ = a.Body.Close()
+		}
+		if (err == nil) != (n == len(whole)) {
+			t.Errorf("error %v after %d of %d bytes", err, n, len(whole))
+		}
+	}
+}
+
 // brokenPeer opens streams on which another instance sends bytes that are no
 // answer and then ends.
 type brokenPeer struct {
