keelsteer: an answer that breaks off behind another instance is a failure of the endpoint

An owner that passes a broken answer on cancels the stream, which ends the context of the request; then it closes the body, finds the context ended, and took that for a caller that left. So the endpoint was not ejected, and the guard did not get the evidence that it gets of a request that crashes an endpoint. The state of the context is now that at the time of the error.

--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -32,26 +32,34 @@
 	outcome := keeladmit.OutcomeFailed
 	switch {
 	case x.ctx.Err() != nil, callersFault(refusal.Reason):
-		outcome = x.abortedOutcome()
+		outcome = x.abortedOutcome(x.ctx.Err())
 		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	case refusal.Verdict == keel.MayHaveRun:
-		x.e.cfg.Guard.ConnectionBroke(x.fp, x.target.ID)
-		x.probe()
+		x.broken()
+		return
 	default:
 		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	}
 	x.end(outcome)
 }
 
+// broken ends a request whose connection the endpoint broke off.
+func (x *dispatchedRequest) broken() {
+	x.e.cfg.Guard.ConnectionBroke(x.fp, x.target.ID)
+	x.probe()
+	x.end(keeladmit.OutcomeFailed)
+}
+
 // stallFactor is the multiple of the mean service time after which a request that
 // ran into its deadline counts as a failure of the endpoint.
 const stallFactor = 5
 
 // abortedOutcome returns the outcome of a request that was aborted before its answer
-// ended. A deadline is no evidence against the endpoint unless answers normally take
-// much less time and no body had to arrive from the caller.
-func (x *dispatchedRequest) abortedOutcome() keeladmit.Outcome {
-	if !x.hasBody && x.ctx.Err() == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
+// ended, by the error of its context. A deadline is no evidence against the endpoint
+// unless answers normally take much less time and no body had to arrive from the
+// caller.
+func (x *dispatchedRequest) abortedOutcome(cause error) keeladmit.Outcome {
+	if !x.hasBody && cause == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
 		return keeladmit.OutcomeFailed
 	}
 	return keeladmit.OutcomeCancelled
@@ -92,15 +100,17 @@
 type observedBody struct {
 	io.ReadCloser
 	dispatchedRequest
-	err  error
-	once sync.Once
+	// err is the error that broke off the answer, and ctxErr that of the context at
+	// this time. The context of a forwarded request ends when the failure is passed on.
+	err, ctxErr error
+	once        sync.Once
 }
 
 // Read records an error that broke off the answer.
 func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !keelproxy.CleanEnd(err) {
-		b.err = err
+	if err != nil && !keelproxy.CleanEnd(err) && b.err == nil {
+		b.err, b.ctxErr = err, b.ctx.Err()
 	}
 	return n, err
 }
@@ -115,11 +125,11 @@
 
 func (b *observedBody) endAnswer() {
 	switch {
-	case b.err != nil && b.ctx.Err() == nil:
-		b.failed(keel.Refuse(keel.MayHaveRun, keel.ReasonEndpointFailed, 0, "%v", b.err))
+	case b.err != nil && b.ctxErr == nil:
+		b.broken()
 	case b.err != nil:
 		b.e.cfg.Guard.Abandoned(b.fp, b.target.ID)
-		b.end(b.abortedOutcome())
+		b.end(b.abortedOutcome(b.ctxErr))
 	default:
 		b.e.cfg.Guard.Answered(b.fp, b.target.ID)
 		b.end(keeladmit.OutcomeOK)
--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -43,10 +43,14 @@
 	}
 }
 
-// failAt runs a request that fails at the endpoint, or is refused as not run.
-func failAt(is *is.I, e *keelsteer.Engine, id string) {
+// failAt runs a request that fails at the endpoint, or is refused as not run. If it
+// cancels, its context ends between the failure and the end of the answer, as it does
+// when another instance forwarded the request.
+func failAt(is *is.I, e *keelsteer.Engine, id string, cancels bool) {
 	is.Helper()
-	a, err := e.RunRequest(context.Background(), &keelproxy.Request{
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, err := e.RunRequest(ctx, &keelproxy.Request{
 		ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: 300 * time.Millisecond,
 	})
 	if err != nil {
@@ -55,6 +59,9 @@
 	}
 	_, err = io.ReadAll(a.Body)
 	is.True(err != nil)
+	if cancels {
+		cancel()
+	}
 	_ = a.Body.Close()
 }
 
@@ -76,12 +83,15 @@
 	for _, tt := range []struct {
 		name     string
 		stalls   bool
+		cancels  bool
 		farSlots int
 		sent     int64
 	}{
-		{"breaks off", false, 4, 10},
-		{"stalls", true, 4, 10},
-		{"breaks off, no slots elsewhere", false, 0, requests},
+		{"breaks off", false, false, 4, 10},
+		{"breaks off behind another instance", false, true, 4, 10},
+		{"stalls", true, false, 4, 10},
+		{"stalls behind another instance", true, true, 4, 10},
+		{"breaks off, no slots elsewhere", false, false, 0, requests},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -96,10 +106,10 @@
 			w.endpoint = ln.Addr().(*net.TCPAddr).AddrPort()
 			e := w.runningEngine("a")
 			for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
-				failAt(is, e, fmt.Sprint("first-", i))
+				failAt(is, e, fmt.Sprint("first-", i), tt.cancels)
 			}
 			for i := range requests - 1 {
-				failAt(is, e, fmt.Sprint("request-", i))
+				failAt(is, e, fmt.Sprint("request-", i), tt.cancels)
 			}
 			is.Equal(f.requests.Load(), tt.sent)
 		})
