keelproxy: a forwarded request is not read after Forward returned

When the context of a forwarded request ended, the function that watches it read the body from the request, while the sender, to which Forward had already returned, set the body for another attempt or restored it. The wrong body could be interrupted.

TestForwardReleasesRequest failed with -race. go test -race ./keelproxy is green.

--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -86,12 +86,13 @@
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonPeerFailed, 0, "no stream to another instance could be opened")
 	}
 	x := &exchange{stream: s, r: keel.NewCBORReader(s)}
+	body := r.Body // r may change once Forward has returned
 	x.stop = context.AfterFunc(ctx, func() {
 		s.Cancel()
-		Interrupt(r.Body)
+		Interrupt(body)
 	})
 	if r.HasBody() {
-		x.sender = &bodySender{stream: s, body: r.Body}
+		x.sender = &bodySender{stream: s, body: body}
 		x.group.Go(x.sender.run)
 	} else {
 		// This fails if the other instance has already answered; its answer is
--- a/keelproxy/forward_test.go
+++ b/keelproxy/forward_test.go
@@ -157,3 +157,35 @@
 	}
 	t.Logf("%d of 2000 bodies were left unread", reused)
 }
+
+// hangingTransport opens streams to an instance that does not answer.
+type hangingTransport struct{ keel.Transport }
+
+func (hangingTransport) Open(context.Context, netip.AddrPort, keel.Envelope) (keel.Stream, error) {
+	return &hangingStream{refusingStream{canceled: make(chan struct{})}}, nil
+}
+
+type hangingStream struct{ refusingStream }
+
+func (s *hangingStream) CloseWrite() error { return nil }
+
+func (s *hangingStream) Read([]byte) (int, error) {
+	<-s.canceled
+	return 0, errors.New("stream was cancelled")
+}
+
+// The caller of a forwarded request leaves. Once Forward has returned, the request
+// belongs to its sender again, which may replace its body for another attempt: the race
+// detector reports if what watches the context still reads it.
+func TestForwardReleasesRequest(t *testing.T) {
+	is := is.New(t)
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &keelproxy.Request{ID: "id", Method: "GET", URI: "/x", Deadline: time.Now().Add(time.Minute)}
+		time.AfterFunc(time.Millisecond, cancel)
+		f := keelproxy.Forwarder{Transport: hangingTransport{}}
+		_, err := f.Forward(ctx, netip.MustParseAddrPort("127.0.0.1:1"), r)
+		is.Equal(keel.VerdictOf(err), keel.MayHaveRun)
+		r.Body = strings.NewReader("body of another attempt")
+	}
+}
