keelsteer: an endpoint that does not answer until callers leave is failing

The only endpoint of a failure domain took requests and answered none. Callers left after one or two seconds, before the deadline of 5 s, so that each request counted as cancelled and the endpoint was never ejected, though another region had room. A request without a body that got no answer for five times the mean service time now counts as failed, whoever ended it.

TestOnlyEndpointIsSilent failed (20 requests sent, want 10).

--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -32,7 +32,7 @@
 	outcome := keeladmit.OutcomeFailed
 	switch {
 	case x.ctx.Err() != nil, callersFault(refusal.Reason):
-		outcome = x.abortedOutcome(x.ctx.Err())
+		outcome = x.abortedOutcome()
 		x.e.cfg.Guard.Abandoned(x.fp, x.target.ID)
 	case refusal.Verdict == keel.MayHaveRun:
 		x.broken()
@@ -50,16 +50,16 @@
 	x.end(keeladmit.OutcomeFailed)
 }
 
-// stallFactor is the multiple of the mean service time after which a request that
-// ran into its deadline counts as a failure of the endpoint.
+// stallFactor is the multiple of the mean service time after which a request that was
+// aborted counts as a failure of the endpoint.
 const stallFactor = 5
 
-// abortedOutcome returns the outcome of a request that was aborted before its answer
-// ended, by the error of its context. A deadline is no evidence against the endpoint
+// abortedOutcome returns the outcome of a request that was aborted by its deadline, or
+// by its caller, before its answer ended. That is no evidence against the endpoint
 // unless answers normally take much less time and no body had to arrive from the
 // caller.
-func (x *dispatchedRequest) abortedOutcome(cause error) keeladmit.Outcome {
-	if !x.hasBody && cause == context.DeadlineExceeded && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
+func (x *dispatchedRequest) abortedOutcome() keeladmit.Outcome {
+	if !x.hasBody && time.Since(x.start) > stallFactor*x.pool.serviceTime() {
 		return keeladmit.OutcomeFailed
 	}
 	return keeladmit.OutcomeCancelled
@@ -128,8 +128,12 @@
 	case b.err != nil && b.ctxErr == nil:
 		b.broken()
 	case b.err != nil:
+		outcome := keeladmit.OutcomeCancelled
+		if b.ctxErr == context.DeadlineExceeded { // a caller that leaves may have read slowly
+			outcome = b.abortedOutcome()
+		}
 		b.e.cfg.Guard.Abandoned(b.fp, b.target.ID)
-		b.end(b.abortedOutcome(b.ctxErr))
+		b.end(outcome)
 	default:
 		b.e.cfg.Guard.Answered(b.fp, b.target.ID)
 		b.end(keeladmit.OutcomeOK)
--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -19,11 +19,12 @@
 )
 
 // failingEndpoint is an endpoint that begins an answer and then closes the
-// connection, or keeps it open without sending the rest.
+// connection, or keeps it open without sending the rest. If it is silent, it does not
+// begin the answer.
 type failingEndpoint struct {
 	net.Listener
-	stalls   bool
-	requests atomic.Int64
+	stalls, silent bool
+	requests       atomic.Int64
 }
 
 func (f *failingEndpoint) run() {
@@ -35,6 +36,8 @@
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err == nil {
 			f.requests.Add(1)
+		}
+		if err == nil && !f.silent {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeel-Request-Id: %s\r\nContent-Length: 50\r\n\r\npart", r.Header.Get(keelproxy.HeaderRequestID))
 		}
 		if !f.stalls {
@@ -65,6 +68,17 @@
 	_ = a.Body.Close()
 }
 
+// leaveAt runs a request that the endpoint does not answer, and whose caller leaves long
+// before the deadline, or that is refused as not run.
+func leaveAt(is *is.I, e *keelsteer.Engine, id string) {
+	is.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	time.AfterFunc(300*time.Millisecond, cancel)
+	_, err := e.RunRequest(ctx, &keelproxy.Request{ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: time.Minute})
+	is.True(err != nil)
+}
+
 // runningEngine returns the engine of an instance, which runs until the test ends.
 func (w *world) runningEngine(name keel.InstanceName) *keelsteer.Engine {
 	e, _ := w.engine(name)
@@ -115,3 +129,27 @@
 		})
 	}
 }
+
+// The only endpoint of a failure domain answers nothing, and callers leave before the
+// deadline. As long as another domain has slots, the endpoint soon gets no more requests.
+func TestOnlyEndpointIsSilent(t *testing.T) {
+	const requests = 20
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	f := &failingEndpoint{Listener: ln, stalls: true, silent: true}
+	go f.run()
+	t.Cleanup(func() { _ = ln.Close() })
+	w := newWorld(t)
+	w.idle, w.farSlots = []string{"b", "c"}, 4
+	w.weights = []keel.DomainWeight{{Domain: "near", Weight: 1}}
+	w.endpoint = ln.Addr().(*net.TCPAddr).AddrPort()
+	e := w.runningEngine("a")
+	for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
+		leaveAt(is, e, fmt.Sprint("first-", i))
+	}
+	for i := range requests - 1 {
+		leaveAt(is, e, fmt.Sprint("request-", i))
+	}
+	is.Equal(f.requests.Load(), int64(10))
+}
