--- a/keelproxy/malformed_test.go
+++ b/keelproxy/malformed_test.go
@@ -26,13 +26,7 @@
 			front := keelproxy.NewFront(keelproxy.FrontConfig{
 				Runner: endlessRunner{}, MaxHeaderBytes: 4096, Report: func(r keelproxy.Result) { ended <- r },
 			})
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = ln.Close() }()
-			go func() { _ = front.Serve(ln) }()
-			c, err := net.Dial("tcp", ln.Addr().String())
-			is.NoErr(err)
-			defer func() { _ = c.Close() }()
+			c := dialFront(t, front)
 			send(c, text)
 			is.NoErr(c.(*net.TCPConn).CloseWrite())
 			answer, err := io.ReadAll(c)
--- a/keelproxy/move_test.go
+++ b/keelproxy/move_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -30,13 +29,7 @@
 		Runner: deadlineRunner{endpointRunner{client, addr}}, MaxHeaderBytes: 4096, Traffic: traffic,
 		MoveCaller: func() bool { requests++; return requests == 2 },
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = ln.Close() }()
-	go func() { _ = front.Serve(ln) }()
-	c, err := net.Dial("tcp", ln.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = c.Close() }()
+	c := dialFront(t, front)
 	br := bufio.NewReader(c)
 	for _, moved := range []bool{false, true} {
 		send(c, "GET /x HTTP/1.1\r\nHost: s\r\n\r\n")
@@ -47,7 +40,7 @@
 		is.Equal(string(data), body)
 		is.Equal(answer.Close, moved)
 	}
-	_, err = br.ReadByte()
+	_, err := br.ReadByte()
 	is.Equal(err, io.EOF)
 	received, sent := traffic.Bytes()
 	is.True(received > int64(2*len(body)))
--- a/keelproxy/proxy_test.go
+++ b/keelproxy/proxy_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// dialFront serves callers at a port until the test ends, and connects to it.
+func dialFront(t *testing.T, front *keelproxy.Front) net.Conn {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = front.Serve(ln) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
 // endpointRunner sends every request to one endpoint.
 type endpointRunner struct {
 	client *keelproxy.EndpointClient
--- a/keelproxy/stall_test.go
+++ b/keelproxy/stall_test.go
@@ -242,14 +242,8 @@
 	front := keelproxy.NewFront(keelproxy.FrontConfig{
 		Runner: endlessRunner{}, MaxHeaderBytes: 4096, Report: func(r keelproxy.Result) { ended <- r },
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = ln.Close() }()
-	go func() { _ = front.Serve(ln) }()
 	go func() { _ = front.Run(t.Context()) }()
-	c, err := net.Dial("tcp", ln.Addr().String())
-	is.NoErr(err)
-	defer func() { _ = c.Close() }()
+	c := dialFront(t, front)
 	send(c, "GET /x HTTP/1.1\r\nHost: s\r\n\r\n")
 	is.True((<-ended).Broken)
 	is.Equal(front.InFlight(), int64(0))
--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -27,6 +27,27 @@
 	requests       atomic.Int64
 }
 
+// newFailingEndpoint returns an endpoint that accepts connections once its engine runs.
+func newFailingEndpoint(t *testing.T) *failingEndpoint {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return &failingEndpoint{Listener: ln}
+}
+
+// engine starts the endpoint and returns the engine of an instance of which it is the
+// only endpoint. Another failure domain has farSlots slots.
+func (f *failingEndpoint) engine(t *testing.T, farSlots int) *keelsteer.Engine {
+	go f.run()
+	w := newWorld(t)
+	w.idle, w.farSlots = []string{"b", "c"}, farSlots
+	w.weights = []keel.DomainWeight{{Domain: "near", Weight: 1}}
+	w.endpoint = f.Addr().(*net.TCPAddr).AddrPort()
+	return w.runningEngine("a")
+}
+
 func (f *failingEndpoint) run() {
 	for {
 		c, err := f.Accept()
@@ -109,16 +130,9 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			f := &failingEndpoint{Listener: ln, stalls: tt.stalls}
-			go f.run()
-			t.Cleanup(func() { _ = ln.Close() })
-			w := newWorld(t)
-			w.idle, w.farSlots = []string{"b", "c"}, tt.farSlots
-			w.weights = []keel.DomainWeight{{Domain: "near", Weight: 1}}
-			w.endpoint = ln.Addr().(*net.TCPAddr).AddrPort()
-			e := w.runningEngine("a")
+			f := newFailingEndpoint(t)
+			f.stalls = tt.stalls
+			e := f.engine(t, tt.farSlots)
 			for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
 				failAt(is, e, fmt.Sprint("first-", i), tt.cancels)
 			}
@@ -135,16 +149,9 @@
 func TestOnlyEndpointIsSilent(t *testing.T) {
 	const requests = 20
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	f := &failingEndpoint{Listener: ln, stalls: true, silent: true}
-	go f.run()
-	t.Cleanup(func() { _ = ln.Close() })
-	w := newWorld(t)
-	w.idle, w.farSlots = []string{"b", "c"}, 4
-	w.weights = []keel.DomainWeight{{Domain: "near", Weight: 1}}
-	w.endpoint = ln.Addr().(*net.TCPAddr).AddrPort()
-	e := w.runningEngine("a")
+	f := newFailingEndpoint(t)
+	f.stalls, f.silent = true, true
+	e := f.engine(t, 4)
 	for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
 		leaveAt(is, e, fmt.Sprint("first-", i))
 	}
