keelentry: the utilization of an idle link falls

The bytes were counted only for each request, so that the gauge kept the last value while no requests came, and they were read outside of the lock, so that a late sample could go back. Seen by reading; go test -race ./platform ./keelproxy -run 'Link|Moved' is green.

--- a/keelentry/linkguard.go
+++ b/keelentry/linkguard.go
@@ -33,13 +33,11 @@
 }
 
 // MoveCaller reports whether the connection of a request should be closed after its
-// answer. It is called for each request, and measures the utilization.
+// answer. It is called for each request.
 func (g *LinkGuard) MoveCaller() bool {
-	now := time.Now()
-	received, sent := g.cfg.Traffic.Bytes()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.link.Observe(now, received, sent)
+	g.observe()
 	return rand.Float64() < g.link.MoveFraction()
 }
 
@@ -48,5 +46,12 @@
 func (g *LinkGuard) Utilization() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.observe()
 	return g.link.Utilization()
 }
+
+// observe brings the measured rates up to date. The caller holds mu.
+func (g *LinkGuard) observe() {
+	received, sent := g.cfg.Traffic.Bytes()
+	g.link.Observe(time.Now(), received, sent)
+}
