keelsync: changes after failed polls arrive in large answers, and a cut one confirms nothing

Each failed poll halved the size of parts, which also limits the entries of an answer, down to 4 KiB; it grew again only with parts, which a follower with a state rarely gets. So an instance whose link had been full got one change for each poll, and each of these answers confirmed its view though the voter had more. The size now grows after any answer, and an answer that says that the voter has more confirms nothing.

--- a/keelsync/download.go
+++ b/keelsync/download.go
@@ -81,6 +81,14 @@
 	d.partLimit = d.partBytes
 }
 
+// regrow lets the size of parts, which also limits the entries of an answer, grow
+// again after an answer without a part.
+func (d *download) regrow() {
+	if d.partBytes < firstPartBytes {
+		d.growPart()
+	}
+}
+
 // limitShift returns by how many doublings the time limit of the next poll is
 // extended, so that overloaded voters get fewer polls and have more time for each.
 func (d *download) limitShift() int { return min(d.failed, maxLimitShift) }
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -161,7 +161,10 @@
 		return errors.Errorf("voter %s has no leader or lags behind", name)
 	}
 	f.answered = name
-	if a.Part == nil { // a blob may be older than the state of the voter
+	if a.Part == nil {
+		f.download.regrow()
+	}
+	if a.Part == nil && !a.More { // otherwise the voter may have a newer state
 		f.freshAt.Store(max(f.freshAt.Load(), int64(p.confirmedAt(time.Now()).Sub(f.start))))
 	}
 	return nil
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -204,6 +204,7 @@
 		}
 		size += len(e.Data)
 		if size > limit && len(a.Entries) > 0 {
+			a.More = true
 			break
 		}
 		a.Entries = append(a.Entries, e)
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -67,6 +67,8 @@
 	Voters []keelworld.Node `cbor:"4,keyasint,omitempty"`
 	// Part is sent to followers that accept parts.
 	Part *blobPart `cbor:"5,keyasint,omitempty"`
+	// More means that the voter has further entries, which did not fit.
+	More bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports the faults of the part. Entries are checked when they are applied.
--- a/keelsync/overload_test.go
+++ b/keelsync/overload_test.go
@@ -181,11 +181,13 @@
 	w.waitFor("the follower has the second change", func() bool { return f.View().Services["c"] != nil })
 }
 
-// failingTransport fails its first calls and counts the others.
+// failingTransport fails its first calls, and some later ones, and counts the others.
 type failingTransport struct {
 	keel.Transport
 	failures int
-	calls    atomic.Int64
+	// stopFor is the number of calls that fail next.
+	stopFor atomic.Int64
+	calls   atomic.Int64
 }
 
 func (f *failingTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
@@ -193,6 +195,9 @@
 		f.failures--
 		return keel.Envelope{}, errors.New("unreachable")
 	}
+	if f.stopFor.Add(-1) >= 0 {
+		return keel.Envelope{}, errors.New("unreachable")
+	}
 	f.calls.Add(1)
 	return f.Transport.Call(ctx, to, e)
 }
@@ -219,6 +224,34 @@
 	t.Logf("%d calls", tr.calls.Load())
 }
 
+// An instance whose polls failed for a while receives the changes since then in few
+// answers, as it would have without the failures.
+func TestChangesAfterFailedPolls(t *testing.T) {
+	const (
+		changes  = 20 // of 3.7 KB
+		maxCalls = changes / 2
+	)
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], patch(item("a", 1)))
+	for i := range changes {
+		w.submit(voters[names[0]], largePatchFrom(10*i, 10))
+	}
+	network := w.hub.Join("10.0.1.1", addrOf("10.0.1.1"))
+	tr := &failingTransport{Transport: network}
+	f := w.followerVia(tr, network, "10.0.1.1")
+	w.waitFor("the follower follows", func() bool { return len(f.View().Services) == 10*changes+1 })
+	tr.stopFor.Store(8)
+	for i := range changes {
+		w.submit(voters[names[0]], largePatchFrom(10*(changes+i), 10))
+	}
+	w.waitFor("the polls have failed", func() bool { return tr.stopFor.Load() <= 0 })
+	tr.calls.Store(0)
+	w.waitFor("the follower has all changes", func() bool { return len(f.View().Services) == 20*changes+1 })
+	is.True(tr.calls.Load() <= maxCalls)
+	t.Logf("%d calls", tr.calls.Load())
+}
+
 // Many instances start at once while voters can send the state to only one of
 // them within the time that a poll waits, and commands change the state
 // meanwhile. Each of them receives it.
