keelproxy, keelsteer: a cut body is reported as such, also after its caller was noticed to have gone

The test client closed its sending direction after each request. The monitor of callers' connections takes that for a disconnected caller and cancels the request, if its check, every 100 ms, falls within the request. Tests now keep the connection open, as callers do who wait for an answer. Status, body, number of answers and the end of the connection are checked as before.

Two requests of TestCallerRefusals need the closing, since they are cut within the body. There the race is in the product: the refusal is documented as 400 bad_request, but was 499 if the monitor interrupted the read of the body before it reached the end (seen in the trial, "keyed long body cut short"). A read from a closed caller ends by itself, so it is not interrupted any more, and the cut body takes precedence over the cancellation.

TestCutBodyOfClosedCaller and TestCutKeyedBody failed before.

--- a/keelinstance/refusal_contract_test.go
+++ b/keelinstance/refusal_contract_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,16 +27,26 @@
 	closes bool
 }
 
-// exchangeText sends text unchanged on a new connection, closes the sending
-// direction and reads one answer.
+// exchangeText sends text unchanged on a new connection and reads one answer. The
+// connection stays open in both directions meanwhile: a caller that closes its
+// sending direction counts as disconnected.
 func exchangeText(t *testing.T, addr netip.AddrPort, text string) rawAnswer {
+	t.Helper()
+	return exchange(t, addr, text, false)
+}
+
+// exchange works like exchangeText, but if cut is set, it closes the sending
+// direction after text.
+func exchange(t *testing.T, addr netip.AddrPort, text string, cut bool) rawAnswer {
 	t.Helper()
 	is := is.New(t)
 	c, err := net.Dial("tcp", addr.String())
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, text) // may fail if the server does not read all of it
-	_ = c.(*net.TCPConn).CloseWrite()
+	if cut {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
 	body, err := io.ReadAll(resp.Body)
@@ -102,14 +113,23 @@
 	return fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: pages\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n", key, length)
 }
 
-// badRequests are requests of callers that are refused before an endpoint receives
-// them.
-var badRequests = []struct {
+// badRequest is a request of a caller that is refused before an endpoint receives
+// it.
+type badRequest struct {
 	name, text string
 	status     int
 	reason     keel.Reason
 	detail     string
-}{
+}
+
+// cutRequests are requests whose callers close the sending direction within the body.
+var cutRequests = []badRequest{
+	{"keyed body cut short", keyedRequestText("k2", 10) + "x", 400, keel.ReasonBadRequest, "unexpected EOF"},
+	{"keyed long body cut short", keyedRequestText("k3", 100_000) + longBody, 400, keel.ReasonBadRequest, "body of request"},
+}
+
+// badRequests are requests whose callers wait for the answer.
+var badRequests = []badRequest{
 	{"no version", "GET /\r\n\r\n", 400, keel.ReasonBadRequest, "request"},
 	{"not HTTP", "\x16\x03\x01\x02\x00\r\n\r\n", 400, keel.ReasonBadRequest, "request"},
 	{"field without colon", "GET / HTTP/1.1\r\nHost: pages\r\nbroken\r\n\r\n", 400, keel.ReasonBadRequest, "request"},
@@ -123,8 +143,6 @@
 	{"two lengths", "POST / HTTP/1.1\r\nHost: pages\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400, keel.ReasonBadRequest, "request"},
 	{"other encoding", "POST / HTTP/1.1\r\nHost: pages\r\nTransfer-Encoding: gzip\r\n\r\nx", 400, keel.ReasonBadRequest, "request"},
 	{"bad chunk", "POST /pay HTTP/1.1\r\nHost: pages\r\nIdempotency-Key: k1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, keel.ReasonBadRequest, ""},
-	{"keyed body cut short", keyedRequestText("k2", 10) + "x", 400, keel.ReasonBadRequest, "unexpected EOF"},
-	{"keyed long body cut short", keyedRequestText("k3", 100_000) + longBody, 400, keel.ReasonBadRequest, "body of request"},
 	{"keyed body too large", keyedRequestText("k4", 2_000_000) + longBody, 413, keel.ReasonTooLarge, "1048576"},
 	{"key missing", "POST /pay HTTP/1.1\r\nHost: pages\r\n\r\n", 400, keel.ReasonKeyMissing, "Idempotency-Key"},
 	{"timeout is no duration", "GET / HTTP/1.1\r\nHost: pages\r\nKeel-Timeout: soon\r\n\r\n", 400, keel.ReasonBadRequest, `header Keel-Timeout: \"soon\" is not a duration`},
@@ -147,22 +165,11 @@
 func TestCallerRefusals(t *testing.T) {
 	s := newSystem(t)
 	runs := s.endpoint.Counts().Runs
-	for _, tt := range badRequests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			for range 2 {
-				got := exchangeText(t, s.instance.Addresses().Caller, tt.text)
-				is.Equal(got.status, tt.status)
-				is.Equal(got.header.Get("Keel-Verdict"), keel.NotRun.String())
-				is.Equal(got.header.Get("Content-Type"), "application/json")
-				var refusal keel.Refusal
-				is.NoErr(json.Unmarshal([]byte(got.body), &refusal))
-				is.Equal(refusal.Verdict, keel.NotRun)
-				is.Equal(refusal.Reason, tt.reason)
-				is.Equal(got.header.Get("Retry-After") != "", refusal.RetryAfter > 0)
-				checkContains(t, got.body, tt.detail)
-			}
-		})
+	for _, r := range badRequests {
+		t.Run(r.name, func(t *testing.T) { s.expectRefusals(t, r, false) })
+	}
+	for _, r := range cutRequests {
+		t.Run(r.name, func(t *testing.T) { s.expectRefusals(t, r, true) })
 	}
 	is := is.New(t)
 	got := exchangeText(t, s.instance.Addresses().Caller, "POST /v1/lookup?service=pages HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
@@ -185,15 +192,33 @@
 	)
 }
 
-// badReasons returns the reasons in badRequests by the port that logs them.
+// expectRefusals sends a request twice and compares the answers.
+func (s *system) expectRefusals(t *testing.T, r badRequest, cut bool) {
+	t.Helper()
+	is := is.New(t)
+	for range 2 {
+		got := exchange(t, s.instance.Addresses().Caller, r.text, cut)
+		is.Equal(got.status, r.status)
+		is.Equal(got.header.Get("Keel-Verdict"), keel.NotRun.String())
+		is.Equal(got.header.Get("Content-Type"), "application/json")
+		var refusal keel.Refusal
+		is.NoErr(json.Unmarshal([]byte(got.body), &refusal))
+		is.Equal(refusal.Verdict, keel.NotRun)
+		is.Equal(refusal.Reason, r.reason)
+		is.Equal(got.header.Get("Retry-After") != "", refusal.RetryAfter > 0)
+		checkContains(t, got.body, r.detail)
+	}
+}
+
+// badReasons returns the reasons of the refused requests by the port that logs them.
 func (s *system) badReasons() map[string]map[string]bool {
 	found := map[string]map[string]bool{"caller": {}, "lookup": {}}
-	for _, tt := range badRequests {
+	for _, r := range slices.Concat(badRequests, cutRequests) {
 		port := "caller"
-		if strings.Contains(tt.text, "/v1/lookup") {
+		if strings.Contains(r.text, "/v1/lookup") {
 			port = "lookup"
 		}
-		found[port][string(tt.reason)] = true
+		found[port][string(r.reason)] = true
 	}
 	return found
 }
--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -32,6 +32,9 @@
 	active atomic.Bool
 	// stalled is set when a read timed out because the caller sent nothing.
 	stalled atomic.Bool
+	// ended is set when the caller was found to have closed its side of the
+	// connection and everything it sent was read.
+	ended atomic.Bool
 	// requestUnread is set when the request was answered before all of it was
 	// read.
 	requestUnread atomic.Bool
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -33,6 +33,7 @@
 // writing of its answer if that continues past the deadline.
 func (p *proxiedRequest) check(now time.Time) {
 	if p.conn.peeker.closed() {
+		p.conn.ended.Store(true)
 		p.ctx.cancel()
 	}
 	deadline, ok := p.ctx.Deadline()
@@ -196,11 +197,12 @@
 }
 
 // Interrupt makes pending and later reads fail. It does nothing after the request
-// has ended, when the connection may carry the next one.
+// has ended, when the connection may carry the next one, and after its caller has
+// closed the connection: reads then return its end, which tells that the body is cut.
 func (b *callerBody) Interrupt() {
 	b.interruptMu.Lock()
 	defer b.interruptMu.Unlock()
-	if !b.ended {
+	if !b.ended && !b.conn.ended.Load() {
 		_ = b.conn.SetReadDeadline(pastDeadline) // unblocks a pending read
 	}
 }
--- a/keelproxy/stall_test.go
+++ b/keelproxy/stall_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/jonboulle/clockwork"
@@ -220,6 +221,40 @@
 	return &keelproxy.Answer{Status: http.StatusOK, Body: http.NoBody}, nil
 }
 
+// closedCallerRunner reads the body only after the request was cancelled, and sends
+// the error to readErr.
+type closedCallerRunner struct {
+	entered chan struct{}
+	readErr chan error
+}
+
+func (r closedCallerRunner) RunRequest(ctx context.Context, req *keelproxy.Request) (*keelproxy.Answer, error) {
+	close(r.entered)
+	<-ctx.Done()
+	keelproxy.Interrupt(req.Body)
+	_, err := io.ReadAll(req.Body)
+	r.readErr <- err
+	return nil, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "%v", err)
+}
+
+// TestCutBodyOfClosedCaller has a caller that closes its side of the connection
+// within a body. The body must end as cut, also if the monitor notices the closing
+// before the body is read.
+func TestCutBodyOfClosedCaller(t *testing.T) {
+	is := is.New(t)
+	runner := closedCallerRunner{entered: make(chan struct{}), readErr: make(chan error, 1)}
+	_, caller, clock := serveWithFakeClock(t, runner)
+	c, err := net.Dial("tcp", caller.String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	send(c, "POST /x HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx")
+	<-runner.entered
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	resp := advanceUntilAnswer(t, c, clock)
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	is.True(errors.Is(<-runner.readErr, io.ErrUnexpectedEOF))
+}
+
 // endlessRunner returns an endless answer to a request with a short deadline.
 type endlessRunner struct{}
 
--- a/keelsteer/engine_test.go
+++ b/keelsteer/engine_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -33,6 +34,7 @@
 	hub      *keelpeer.MemoryHub
 	log      *logrus.Entry
 	services int
+	class    keel.Class
 	cap      float64
 	weights  []keel.DomainWeight
 	// idle lists the instances that are labelled to drain, so that they own no
@@ -54,7 +56,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return &world{
-		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Log: log}), log: logrus.NewEntry(log), services: 1, idle: []string{"a"}, endpoint: netip.MustParseAddrPort("10.1.0.1:80"),
+		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Log: log}), log: logrus.NewEntry(log), services: 1, class: keel.ClassLive, idle: []string{"a"}, endpoint: netip.MustParseAddrPort("10.1.0.1:80"),
 		leaving: map[keel.InstanceName]bool{}, ran: map[keel.InstanceName]int{},
 	}
 }
@@ -85,7 +87,7 @@
 	for i := range w.services {
 		d.Services = append(d.Services, keel.Service{Name: w.service(i), AnnounceFrom: []netip.Prefix{netip.PrefixFrom(w.endpoint.Addr(), 8)}})
 		d.Selectors = append(d.Selectors, keel.Selector{
-			Name: keel.SelectorName(w.service(i)), Service: w.service(i), Class: keel.ClassLive, Deadline: keel.Duration(time.Minute),
+			Name: keel.SelectorName(w.service(i)), Service: w.service(i), Class: w.class, Deadline: keel.Duration(time.Minute),
 			Cap: keel.ShiftCap{Percent: w.cap, Window: keel.Duration(time.Hour)}, Weights: w.weights,
 		})
 	}
@@ -179,7 +181,7 @@
 			Peers: func() []keel.InstanceName { return nil }, Homes: func() []keel.InstanceName { return nil },
 			Lifted: func() []string { return nil },
 		}),
-		Log: w.log, LookupTTL: time.Second, FirstStart: true,
+		Log: w.log, LookupTTL: time.Second, FirstStart: true, MaxKeyedBytes: 1 << 10,
 	}), tr
 }
 
@@ -252,6 +254,32 @@
 	}
 }
 
+// A caller may close the connection within the body of an at-most-once request.
+// The refusal must name the cut body, also if the closing was noticed before the
+// body was read.
+func TestCutKeyedBody(t *testing.T) {
+	for _, closingNoticed := range []bool{false, true} {
+		t.Run(fmt.Sprint(closingNoticed), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.class = keel.ClassAtMostOnce
+			e, _ := w.engine("a")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if closingNoticed {
+				cancel()
+			}
+			_, err := e.RunRequest(ctx, &keelproxy.Request{
+				ID: "request", Service: w.service(0), Method: "POST", URI: "/", Key: "k",
+				ContentLength: 10, Body: iotest.ErrReader(io.ErrUnexpectedEOF),
+			})
+			refusal := keelproxy.AsRefusal(err)
+			is.Equal(refusal.Reason, keel.ReasonBadRequest)
+			is.Equal(refusal.Verdict, keel.NotRun)
+		})
+	}
+}
+
 var allFar = []keel.DomainWeight{{Domain: "far", Weight: 1}}
 
 // TestNoCredit sends 100 requests to a domain that grants no credit. Only the
--- a/keelsteer/keyed.go
+++ b/keelsteer/keyed.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelclaim"
 	"github.com/greengagekeel/greengagekeel/keelguard"
@@ -73,7 +74,7 @@
 	stop := context.AfterFunc(ctx, func() { keelproxy.Interrupt(r.Body) })
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	stop()
-	if err != nil && ctx.Err() != nil {
+	if err != nil && ctx.Err() != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return 0, contextRefusal(ctx, "the request ended before its body was received")
 	}
 	if err != nil {
