keelsteer: tests of failing endpoints don't depend on when a request is sent

A request that its caller gives up, or whose deadline passes, is a failure of the endpoint if it was there for more than five times the expected 50 ms. The callers of the test left 300 ms after the start of a request. One that was sent 50 ms late was at the endpoint for less, and rightly not counted.

Callers now leave 300 ms after the endpoint has received the request, and requests that may stall have a time limit of 1 s. The rows run in parallel, so that this takes no longer. The expected number stays.

--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -25,6 +25,8 @@
 	net.Listener
 	stalls, silent bool
 	requests       atomic.Int64
+	// leave ends the request that is received next, if it is set.
+	leave atomic.Pointer[context.CancelFunc]
 }
 
 // newFailingEndpoint returns an endpoint that accepts connections once its engine runs.
@@ -57,6 +59,9 @@
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err == nil {
 			f.requests.Add(1)
+			if leave := f.leave.Load(); leave != nil {
+				time.AfterFunc(patience, *leave)
+			}
 		}
 		if err == nil && !f.silent {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeel-Request-Id: %s\r\nContent-Length: 50\r\n\r\npart", r.Header.Get(keelproxy.HeaderRequestID))
@@ -67,6 +72,11 @@
 	}
 }
 
+// failTimeout is the time limit of requests whose answer may stall. It leaves much more
+// time at the endpoint than an answer is expected to take, also if the request is sent
+// late.
+const failTimeout = time.Second
+
 // failAt runs a request that fails at the endpoint, or is refused as not run. If it
 // cancels, its context ends between the failure and the end of the answer, as it does
 // when another instance forwarded the request.
@@ -75,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	a, err := e.RunRequest(ctx, &keelproxy.Request{
-		ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: 300 * time.Millisecond,
+		ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: failTimeout,
 	})
 	if err != nil {
 		is.Equal(keel.VerdictOf(err), keel.NotRun)
@@ -89,13 +99,17 @@
 	_ = a.Body.Close()
 }
 
+// patience is how long a caller waits for an answer after the endpoint has received the
+// request. It is much longer than the answer is expected to take.
+const patience = 300 * time.Millisecond
+
 // leaveAt runs a request that the endpoint does not answer, and whose caller leaves long
 // before the deadline, or that is refused as not run.
-func leaveAt(is *is.I, e *keelsteer.Engine, id string) {
+func (f *failingEndpoint) leaveAt(is *is.I, e *keelsteer.Engine, id string) {
 	is.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	time.AfterFunc(300*time.Millisecond, cancel)
+	f.leave.Store(&cancel)
 	_, err := e.RunRequest(ctx, &keelproxy.Request{ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: time.Minute})
 	is.True(err != nil)
 }
@@ -129,6 +143,7 @@
 		{"breaks off, no slots elsewhere", false, false, 0, requests},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := newFailingEndpoint(t)
 			f.stalls = tt.stalls
@@ -153,10 +168,10 @@
 	f.stalls, f.silent = true, true
 	e := f.engine(t, 4)
 	for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
-		leaveAt(is, e, fmt.Sprint("first-", i))
+		f.leaveAt(is, e, fmt.Sprint("first-", i))
 	}
 	for i := range requests - 1 {
-		leaveAt(is, e, fmt.Sprint("request-", i))
+		f.leaveAt(is, e, fmt.Sprint("request-", i))
 	}
 	is.Equal(f.requests.Load(), int64(10))
 }
