keelsteer, keelinstance: a version is in force once requests are handled by it

An instance reported the version of its replica, while requests are handled by the engine's plan, which is rebuilt after it. It now reports the version of the plan, as soon as that is used.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -190,7 +190,7 @@
 	})
 	in.engine = keelsteer.New(keelsteer.Config{
 		Self: in.self, Declared: in.control.replica.Current, View: in.steeringView, Endpoints: in.endpoints,
-		Transport: in.peer, Claims: in.claims, Guard: in.guard, Log: in.log, OnLookup: in.reportLookup,
+		Transport: in.peer, Claims: in.claims, Guard: in.guard, Log: in.log, OnVersion: in.onVersion, OnLookup: in.reportLookup,
 		LookupTTL: s.Timing.LookupTTL.Std(), MaxKeyedBytes: int(s.Limits.MaxKeyedBodyBytes), MaxAnswerBytes: maxAnswerBytes,
 		FirstStart: in.control.replica.Current().Version == 0, Seed: in.self.Incarnation,
 	})
--- a/keelinstance/view.go
+++ b/keelinstance/view.go
@@ -31,9 +31,18 @@
 		in.holders.update(time.Now(), s.Declarations, in.current.follows(s.Version))
 	}
 	in.replan()
-	if in.members != nil {
-		in.members.Notify()
+}
+
+// onVersion is called after the engine has begun to use another version of the
+// declarations. Voters wait for its report.
+func (in *Instance) onVersion() { in.members.Notify() }
+
+// versionInForce returns the version of the declarations by which requests are handled.
+func (in *Instance) versionInForce() keel.Version {
+	if in.engine == nil {
+		return in.control.replica.Current().Version
 	}
+	return in.engine.Version()
 }
 
 // replan makes the engine plan again. It is called by components that are created
@@ -47,7 +56,7 @@
 // localStatus returns the state of this instance that heartbeats report.
 func (in *Instance) localStatus() keelmember.Local {
 	l := keelmember.Local{
-		Version: in.control.replica.Current().Version,
+		Version: in.versionInForce(),
 		Leaving: in.leaving.Load(),
 	}
 	l.Registered = slices.Contains(in.ownClaimHolders(), in.self.Name)
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -31,6 +31,9 @@
 	Claims    *keelclaim.Service
 	Guard     *keelguard.Service
 	Log       *logrus.Entry
+	// OnVersion is called by [Engine.Run] after requests are handled by another version
+	// of the declarations. It may be nil.
+	OnVersion func()
 	// OnLookup is called after each look-up with its result. It may be nil.
 	OnLookup func(LookupResult)
 	// LookupTTL is how long a caller may use the answer to a look-up.
@@ -154,10 +157,18 @@
 		case <-ticker.C:
 		case <-e.replan:
 		}
+		old := e.Version()
 		e.makePlan(time.Now())
+		if e.Version() != old && e.cfg.OnVersion != nil {
+			e.cfg.OnVersion()
+		}
 	}
 }
 
+// Version returns the version of the declarations by which requests are handled. It is
+// behind Config.Declared until the plan has been rebuilt.
+func (e *Engine) Version() keel.Version { return e.plan.Load().snapshot.Version }
+
 // Replan triggers a rebuild of the plan. It is called after a change of the
 // declarations, the members or the endpoints.
 func (e *Engine) Replan() {
