keelendpoint: an endpoint that expired and returns unchanged is sent to the other instances

An endpoint whose announcements paused for longer than its TTL, as when it or the link was frozen, and which then went on with the same announcement was known to its registrar only: nothing had changed against the last announcement, so the set was not sent, and its version stayed. The other instances refused its requests with no_endpoint until another endpoint of the registrar changed.

A second fault beside it: an announcement that was delayed until its endpoint had left and expired brought the endpoint back, and callers' requests were sent to a process that was gone. Leaving is now final for the incarnation, as it was before the expiry.

TestReturnAfterExpiry and TestRenewalAfterLeave failed before.

--- a/keelendpoint/directory.go
+++ b/keelendpoint/directory.go
@@ -33,9 +33,12 @@
 
 // States and events of the state machine in state.json.
 const (
-	stateServing  keelchart.State = "serving"
-	stateLeaving  keelchart.State = "leaving"
-	stateGone     keelchart.State = "gone"
+	stateServing keelchart.State = "serving"
+	stateLeaving keelchart.State = "leaving"
+	// stateGone is entered without a leave, so that the endpoint may return.
+	stateGone keelchart.State = "gone"
+	// stateLeft is final for the incarnation.
+	stateLeft     keelchart.State = "left"
 	eventAnnounce keelchart.Event = "announce"
 	eventLeave    keelchart.Event = "leave"
 	eventExpire   keelchart.Event = "expire"
@@ -77,6 +80,13 @@
 	since        time.Time
 }
 
+// listed reports whether the endpoint belongs to the set of this registrar. Others are
+// kept for their incarnation only.
+func (r *ownRecord) listed() bool {
+	state := r.machine.State()
+	return state != stateGone && state != stateLeft
+}
+
 // Record is one endpoint in the set of its registrar.
 type Record struct {
 	Announcement keel.Announcement `cbor:"1,keyasint" json:"announcement"`
@@ -178,6 +188,7 @@
 	if a.Incarnation > rec.announcement.Incarnation {
 		rec.machine = keelchart.NewMachine(stateChart)
 	}
+	wasListed := rec.listed()
 	event := eventAnnounce
 	if a.State == keel.EndpointLeaving {
 		event = eventLeave
@@ -190,7 +201,7 @@
 	if state == stateLeaving {
 		a.State = keel.EndpointLeaving
 	}
-	changed = !sameEndpoint(rec.announcement, a)
+	changed = rec.listed() != wasListed || rec.listed() && !sameEndpoint(rec.announcement, a)
 	rec.announcement, rec.renewedAt = a, now
 	if changed {
 		d.seq++
@@ -236,7 +247,7 @@
 func (d *Directory) Expire(now time.Time, live func(keel.InstanceName) bool) []keel.EndpointID {
 	var expired []keel.EndpointID
 	for id, rec := range d.own {
-		if rec.machine.State() == stateGone {
+		if !rec.listed() {
 			if now.Sub(rec.renewedAt) > goneRetention {
 				delete(d.own, id)
 			}
@@ -282,7 +293,7 @@
 		return s
 	}
 	for _, rec := range d.own {
-		if rec.machine.State() == stateGone {
+		if !rec.listed() {
 			continue
 		}
 		s.Records = append(s.Records, Record{Announcement: rec.announcement, Age: max(0, now.Sub(rec.renewedAt))})
@@ -374,7 +385,7 @@
 func (d *Directory) Entries(now time.Time) []Entry {
 	merged := make(map[keel.EndpointID]Entry, len(d.own))
 	for id, rec := range d.own {
-		if rec.machine.State() == stateGone {
+		if !rec.listed() {
 			continue
 		}
 		merged[id] = Entry{Announcement: rec.announcement, Registrar: d.cfg.Self, RenewedAt: rec.renewedAt}
--- a/keelendpoint/directory_test.go
+++ b/keelendpoint/directory_test.go
@@ -74,6 +74,54 @@
 	is.Equal(len(d.Entries(start.Add(4*time.Second))), 0)
 }
 
+// TestReturnAfterExpiry has an endpoint whose announcements pause for longer than its TTL.
+// When it announces itself again, unchanged, other instances must get it back as well.
+func TestReturnAfterExpiry(t *testing.T) {
+	is := is.New(t)
+	a, b := newDirectory("a"), newDirectory("b")
+	live := func(keel.InstanceName) bool { return true }
+	_, _ = a.Announce(start, announcement(nil))
+	later := start.Add(4 * time.Second)
+	is.Equal(len(a.Expire(later, live)), 1)
+	b.Merge(later, a.OwnSet(later, false))
+	is.Equal(len(b.Entries(later)), 0)
+	changed, fs := a.Announce(later, announcement(nil))
+	is.Equal(len(fs), 0)
+	is.True(changed)
+	is.True(b.Merge(later, a.OwnSet(later, true))) // a summary shows the change
+	b.Merge(later, a.OwnSet(later, false))
+	is.Equal(len(b.Entries(later)), 1)
+}
+
+// TestRenewalAfterLeave has an announcement that was delayed until its endpoint had left
+// and expired. The endpoint must stay out until its next incarnation.
+func TestRenewalAfterLeave(t *testing.T) {
+	leaving := announcement(func(a *keel.Announcement) { a.State = keel.EndpointLeaving })
+	for name, announcements := range map[string][]keel.Announcement{
+		"left before it expired": {leaving},
+		"left after it expired":  {announcement(nil), leaving},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDirectory("a")
+			now := start
+			for _, a := range announcements {
+				_, _ = d.Announce(now, a)
+				now = now.Add(4 * time.Second)
+				d.Expire(now, func(keel.InstanceName) bool { return true })
+			}
+			changed, fs := d.Announce(now, announcement(nil))
+			is.Equal(len(fs), 0)
+			is.True(!changed)
+			is.Equal(len(d.Entries(now)), 0)
+			changed, fs = d.Announce(now, announcement(func(a *keel.Announcement) { a.Incarnation++ }))
+			is.Equal(len(fs), 0)
+			is.True(changed)
+			is.Equal(len(d.Entries(now)), 1)
+		})
+	}
+}
+
 // TestRepair checks that the loss of a set is detected through the summary and
 // repaired, and that a late older set is ignored.
 func TestRepair(t *testing.T) {
