--- a/keelsync/overload_test.go
+++ b/keelsync/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -252,6 +253,50 @@
 	t.Logf("%d calls", tr.calls.Load())
 }
 
+// gatedTransport lets a number of answers pass and fails other calls, which it counts.
+type gatedTransport struct {
+	keel.Transport
+	answers, failed atomic.Int64
+}
+
+func (g *gatedTransport) Call(ctx context.Context, to netip.AddrPort, e keel.Envelope) (keel.Envelope, error) {
+	if g.answers.Load() > 0 {
+		answer, err := g.Transport.Call(ctx, to, e)
+		if err != nil || g.answers.Add(-1) >= 0 {
+			return answer, err
+		}
+	}
+	g.failed.Add(1)
+	return keel.Envelope{}, errors.New("unreachable")
+}
+
+// After failed polls an answer holds some of the changes only. It must not confirm the
+// view: requests for routes that it lacks would be refused as if there were none.
+func TestCutAnswerDoesNotConfirm(t *testing.T) {
+	const (
+		changes     = 20 // of 3.7 KB
+		failedPolls = 8
+	)
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	w.submit(voters[names[0]], patch(item("a", 1)))
+	network := w.hub.Join("10.0.1.1", addrOf("10.0.1.1"))
+	tr := &gatedTransport{Transport: network}
+	tr.answers.Store(math.MaxInt64)
+	f := w.followerVia(tr, network, "10.0.1.1")
+	w.waitFor("the follower follows", func() bool { return f.View().Services["a"] != nil })
+	tr.answers.Store(0)
+	w.waitFor("polls have failed", func() bool { return tr.failed.Load() >= failedPolls })
+	for i := range changes {
+		w.submit(voters[names[0]], largePatchFrom(10*i, 10))
+	}
+	submitted := time.Now()
+	tr.answers.Store(1)
+	w.waitFor("the follower has some of the changes", func() bool { return len(f.View().Services) > 1 })
+	is.True(len(f.View().Services) < 10*changes)
+	is.True(f.Age(time.Now()) > time.Since(submitted))
+}
+
 // Many instances start at once while voters can send the state to only one of
 // them within the time that a poll waits, and commands change the state
 // meanwhile. Each of them receives it.
