--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -31,7 +31,7 @@
 	Claims    *keelclaim.Service
 	Guard     *keelguard.Service
 	Log       *logrus.Entry
-	// OnVersion is called by [Engine.Run] after requests are handled by another version
+	// OnVersion is called by [Engine.Run] once requests are handled by another version
 	// of the declarations. It may be nil.
 	OnVersion func()
 	// OnLookup is called after each look-up with its result. It may be nil.
