keelpeer, keelsync: a start of hundreds of followers leaves the voters time to elect

A call opened a connection of its own, and one whose handshake ended after the call's limit was closed unused, so that every late handshake led to another one. The first election needs the votes of all three seeds, since their disks' incarnations are not known before it (keelquorum, voterSet.quorum): the two others campaigned in vain. Followers polled voters without a leader every 20 ms, and one with an empty state polled a voter with an empty state without any pause. Ruled out: QUIC between the voters, which the idle seeds had free.

Change: a client opens one connection to an address at a time and keeps one that is late; a server computes two handshakes at a time, keeps 128 waiting and refuses the rest; polls back off to 0.32 s with a random part while no voter has a leader; a voter holds the poll of an empty follower for 0.1 s if it is empty too; followers spread over the voters at the same distance.

TestStalledHandshakes guards the new gate.

--- a/keelpeer/callclient.go
+++ b/keelpeer/callclient.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"maps"
 	"net"
 	"net/netip"
@@ -41,7 +40,8 @@
 // CallClient makes calls over TCP with mutual TLS to transports with
 // [Config.AcceptTCP]. A full link drops datagrams, while the segments of TCP wait in the
 // same queue as those of all other connections, so that calls are late and not lost.
-// Each connection carries one call at a time. It implements [keel.CallTransport].
+// Each connection carries one call at a time, and only one to an address is being opened
+// at any time. It implements [keel.CallTransport].
 type CallClient struct {
 	cfg CallClientConfig
 	// ctx ends when the client is closed.
@@ -51,7 +51,7 @@
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]*fasthttp.HostClient
 	conns map[net.Conn]struct{}
-	// group holds the calls in progress. None is added once ctx has ended.
+	// group holds the calls and dials in progress. None is added once ctx has ended.
 	group conc.WaitGroup
 }
 
@@ -161,8 +161,9 @@
 func (c *CallClient) host(to netip.AddrPort) *fasthttp.HostClient {
 	h := c.hosts[to]
 	if h == nil {
+		d := &callDialer{client: c, to: to}
 		h = &fasthttp.HostClient{
-			Addr: to.String(), Dial: func(string) (net.Conn, error) { return c.dial(to) },
+			Addr: to.String(), DialTimeout: d.connect,
 			MaxIdleConnDuration: callIdleTimeout, MaxResponseBodySize: c.cfg.MaxAnswerBytes,
 			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -172,15 +173,21 @@
 	return h
 }
 
-// dial opens a connection, with its handshake.
-func (c *CallClient) dial(to netip.AddrPort) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
-	defer cancel()
-	d := tls.Dialer{Config: c.cfg.Keys.ClientTLSFor(to.Addr())}
-	nc, err := d.DialContext(ctx, "tcp", to.String())
-	if err != nil {
-		return nil, errors.Join(ErrUnreachable, err)
+// startDial starts an attempt to open a connection. It reports false if the client is
+// closed.
+func (c *CallClient) startDial(x *callDial) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return false
 	}
+	c.group.Go(x.run)
+	return true
+}
+
+// track makes the client close a new connection with itself. It closes the connection at
+// once if the client is closed already.
+func (c *CallClient) track(nc net.Conn) (net.Conn, error) {
 	tracked := &callConn{Conn: nc, client: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/keelpeer/callclient_test.go
+++ b/keelpeer/callclient_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,3 +157,97 @@
 	_, err = c.Call(t.Context(), v.b.Addr(), keel.Envelope{Kind: kindEcho})
 	is.True(errors.Is(err, keelpeer.ErrClosed))
 }
+
+// slowPath forwards connections to an address. The first bytes that come back on each of
+// them, which belong to the handshake, are late by delay.
+type slowPath struct {
+	net.Listener
+	to       netip.AddrPort
+	delay    time.Duration
+	accepted atomic.Int64
+	group    conc.WaitGroup
+}
+
+func (p *slowPath) run() {
+	for {
+		nc, err := p.Accept()
+		if err != nil {
+			return
+		}
+		p.accepted.Add(1)
+		p.group.Go(func() { p.forward(nc) })
+	}
+}
+
+func (p *slowPath) forward(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	server, err := net.Dial("tcp", p.to.String())
+	if err != nil {
+		return
+	}
+	p.group.Go(func() {
+		_, _ = io.Copy(server, nc)
+		_ = server.Close()
+	})
+	buf := make([]byte, 64<<10)
+	n, _ := server.Read(buf)
+	time.Sleep(p.delay)
+	_, _ = nc.Write(buf[:n])
+	_, _ = io.Copy(nc, server)
+}
+
+// A handshake takes longer than the calls that need it, as at an instance to which hundreds
+// connect at once. The connection is used by a later call: calls that each open one of their own
+// would keep the instance busy with handshakes for ever.
+func TestHandshakeSlowerThanCalls(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	p := &slowPath{Listener: ln, delay: 400 * time.Millisecond}
+	t.Cleanup(p.group.Wait) // after the client has closed its connections
+	v, c := newCallFixture(t, nil)
+	p.to = v.b.Addr()
+	p.group.Go(p.run)
+	defer func() { _ = ln.Close() }()
+	for range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err = c.Call(ctx, ln.Addr().(*net.TCPAddr).AddrPort(), keel.Envelope{Kind: kindEcho})
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	is.NoErr(err)
+	is.True(p.accepted.Load() <= 2) // a call that gets the connection at the end of its time closes it
+}
+
+// Clients that stop in the middle of their handshakes, such as behind a cut, keep no others
+// from theirs.
+func TestStalledHandshakes(t *testing.T) {
+	is := is.New(t)
+	v, c := newCallFixture(t, nil)
+	for range 40 {
+		nc, err := net.Dial("tcp", v.b.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = nc.Close() }()
+		stalled := tls.Client(&silentAfter{Conn: nc, writes: 1}, &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13})
+		go func() { _ = stalled.Handshake() }()
+	}
+	_, err := c.Call(t.Context(), v.b.Addr(), keel.Envelope{Kind: kindEcho})
+	is.NoErr(err)
+}
+
+// silentAfter is a connection that reads nothing, and sends only its first writes.
+type silentAfter struct {
+	net.Conn
+	writes int
+}
+
+func (c *silentAfter) Write(p []byte) (int, error) {
+	if c.writes--; c.writes < 0 {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentAfter) Read([]byte) (int, error) { select {} }
--- a/keelpeer/callserver.go
+++ b/keelpeer/callserver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 
 	"github.com/go-faster/errors"
@@ -20,7 +19,7 @@
 
 // newCallServer returns a server of the connections to a TCP port.
 func newCallServer(t *Transport, ln net.Listener) *callServer {
-	s := &callServer{t: t, listener: tls.NewListener(ln, t.cfg.Keys.ServerTLS())}
+	s := &callServer{t: t, listener: newHandshakeGate(t.ctx).listen(ln, t.cfg.Keys.ServerTLS())}
 	s.server = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: int(t.cfg.MaxMessageBytes), IdleTimeout: serverIdleTimeout, ReadTimeout: serverIdleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true, ReduceMemoryUsage: true,
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -1,7 +1,9 @@
 package keelsync
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,8 +53,21 @@
 	// voter can send a snapshot, so that another one is polled soon if this one is
 	// down. It is doubled after each failed poll, up to [maxLimitShift] times.
 	firstAnswerTimeout = 300 * time.Millisecond
-	// feedRetryDelay is the delay before the next poll after a failed one.
+	// firstFeedWait is how long a voter holds the poll of a follower with an empty state if
+	// its own state is empty too. Without it the follower would poll without a pause until
+	// the first command is committed.
+	firstFeedWait = 100 * time.Millisecond
+	// feedRetryDelay is the delay before the next poll after a failed one, while there are
+	// voters that have not failed. It is doubled each time that as many polls as there are
+	// voters to poll have failed, up to maxRetryDelay.
 	feedRetryDelay = 20 * time.Millisecond
+	// maxRetryDelay is the mean delay between two polls while no voter has a leader.
+	maxRetryDelay = 320 * time.Millisecond
+	// maxRoundPolls limits the failed polls after which the delay is doubled. With many
+	// voters, several in a row that have no leader show that there is none.
+	maxRoundPolls = 3
+	// maxDelayShift is the number of doublings from feedRetryDelay to maxRetryDelay.
+	maxDelayShift = 4
 	// failedVoterBackoff is how long a voter is polled only after all others once a
 	// poll of it has failed.
 	failedVoterBackoff = 3 * time.Second
@@ -96,6 +111,9 @@
 	calls   conc.WaitGroup
 	// answered is the voter that answered last.
 	answered keel.InstanceName
+	// failures is the number of failed polls since the last answer of a voter that has a
+	// leader.
+	failures int
 }
 
 // NewFollower returns a follower with an empty state.
@@ -173,7 +191,7 @@
 		f.markFailed(name)
 		return errors.Errorf("voter %s has no leader or lags behind", name)
 	}
-	f.answered = name
+	f.answered, f.failures = name, 0
 	f.answeredAt.Store(int64(time.Since(f.start)))
 	if a.Part == nil {
 		f.download.regrow()
@@ -237,11 +255,14 @@
 	return oldest
 }
 
-// candidates returns the voters by distance, and then the seeds. All instances have
-// the same seeds, so that each begins with another one of them.
+// candidates returns the voters by distance, and then the seeds. Voters at the same
+// distance are in another order at each instance, so that none has all the followers of its
+// failure domain, and so are the seeds.
 func (f *Follower) candidates() []keel.InstanceName {
 	voters := slices.Clone(f.voters)
-	slices.SortStableFunc(voters, func(a, b keelworld.Node) int { return f.distance(&a) - f.distance(&b) })
+	slices.SortStableFunc(voters, func(a, b keelworld.Node) int {
+		return cmp.Or(cmp.Compare(f.distance(&a), f.distance(&b)), cmp.Compare(f.preference(a.Name), f.preference(b.Name)))
+	})
 	var all []keel.InstanceName
 	for _, n := range voters {
 		all = append(all, n.Name)
@@ -255,6 +276,33 @@
 	return all
 }
 
+// preference returns the rank of a voter among those at the same distance.
+func (f *Follower) preference(voter keel.InstanceName) uint64 {
+	return xxh3.HashString(string(f.self.Name) + "\x00" + string(voter))
+}
+
+// retryDelay returns the delay before the next poll after a failed one. While voters
+// without a leader refuse the polls of hundreds of followers, the polls must leave them the
+// time to elect one, and are spread by a random part.
+func (f *Follower) retryDelay() time.Duration {
+	f.mu.Lock()
+	candidates := len(f.candidates())
+	f.mu.Unlock()
+	return spreadDelay(retryDelay(f.failures, candidates), rand.Float64())
+}
+
+// retryDelay returns the mean delay before the next poll after a number of failed ones,
+// where there are so many voters to poll.
+func retryDelay(failures, candidates int) time.Duration {
+	rounds := failures / min(max(candidates, 1), maxRoundPolls)
+	return min(feedRetryDelay<<min(rounds, maxDelayShift), maxRetryDelay)
+}
+
+// spreadDelay returns a delay of half to one and a half times d, for an x from 0 to 1.
+func spreadDelay(d time.Duration, x float64) time.Duration {
+	return time.Duration(float64(d) * (0.5 + x))
+}
+
 // distance ranks voters: 0 in the same failure domain, 1 in the same region, 2
 // elsewhere.
 func (f *Follower) distance(n *keelworld.Node) int {
--- a/keelsync/poll.go
+++ b/keelsync/poll.go
@@ -69,9 +69,10 @@
 		f.logContact(err)
 		if err != nil && ctx.Err() == nil {
 			f.cfg.Log.WithError(err).Debug("poll of a voter failed")
+			f.failures++
 			select {
 			case <-ctx.Done():
-			case <-time.After(feedRetryDelay):
+			case <-time.After(f.retryDelay()):
 			}
 		}
 	}
@@ -164,7 +165,7 @@
 	case f.download.active():
 		return 0, partAnswerTimeout << min(shift, 1)
 	case f.state.Index() == 0:
-		return 0, firstAnswerTimeout << shift
+		return firstFeedWait, firstFeedWait + firstAnswerTimeout<<shift
 	case f.download.failed > 0:
 		return 0, min(feedAnswerTimeout<<(shift-1), maxAnswerTimeout)
 	default:
