keelroute, keelsteer: an endpoint that turns every request away is ejected while there is an alternative

Change: such answers count in the ejector like failures, as long as another pool has room or another endpoint of the pool serves; without an alternative they don't, since the endpoint may just be full. TestOnlyEndpointSheds and TestEjectorCountsShedRequestsWithAlternative are new and need the change.

--- a/keeladmit/next.go
+++ b/keeladmit/next.go
@@ -80,6 +80,9 @@
 	// OutcomeCancelled means that the request was cancelled. Its duration is not
 	// a latency of the endpoint.
 	OutcomeCancelled
+	// OutcomeShed means that the endpoint answered that it takes no requests now. The
+	// time until then is not a service time.
+	OutcomeShed
 )
 
 // smoothingWeight is the weight of one response in the moving averages of the
--- a/keelroute/eject.go
+++ b/keelroute/eject.go
@@ -38,8 +38,10 @@
 type endpointHealth struct {
 	id                  keel.EndpointID
 	consecutiveFailures int
-	ejections           int
-	ejectedUntil        time.Time
+	// shedLast is whether it turned its last request away.
+	shedLast     bool
+	ejections    int
+	ejectedUntil time.Time
 	// excess is whether the ejection exceeds MaxFraction. It ends when there is no
 	// alternative to the pool.
 	excess         bool
@@ -101,6 +103,27 @@
 	e.endpoints = slices.DeleteFunc(e.endpoints, func(s *endpointHealth) bool { return s.id == id })
 }
 
+// ObserveShed records that an endpoint turned a request away. Without an alternative that is
+// no evidence, since the endpoint may be full. With one, an endpoint that turns away every
+// request is ejected like one that fails: its answers are complete, so that nothing else
+// would move its callers to the endpoints that have room.
+func (e *Ejector) ObserveShed(now time.Time, id keel.EndpointID) {
+	if e.alternative || e.anotherWorks(now, id) {
+		e.Observe(now, id, false, 0)
+	}
+	if s := e.find(id); s != nil {
+		s.shedLast = true
+	}
+}
+
+// anotherWorks reports whether an endpoint other than the given one takes requests and
+// served the last one that it got.
+func (e *Ejector) anotherWorks(now time.Time, but keel.EndpointID) bool {
+	return slices.ContainsFunc(e.endpoints, func(s *endpointHealth) bool {
+		return s.id != but && !s.shedLast && s.consecutiveFailures == 0 && s.latencySamples > 0 && !now.Before(s.ejectedUntil)
+	})
+}
+
 // Observe records the result of a request at an endpoint, and ejects the
 // endpoint if it has become an outlier. Endpoints outside the pool are ignored.
 func (e *Ejector) Observe(now time.Time, id keel.EndpointID, ok bool, latency time.Duration) {
@@ -115,7 +138,7 @@
 		}
 		return
 	}
-	s.consecutiveFailures = 0
+	s.consecutiveFailures, s.shedLast = 0, false
 	s.observe(latency.Seconds())
 	if s.latencySamples >= minLatencySamples && s.meanLatency > e.cfg.SlowFactor*e.meanLatencyOfOthers(s) {
 		e.eject(now, s, false)
--- a/keelroute/shares_test.go
+++ b/keelroute/shares_test.go
@@ -357,3 +357,44 @@
 	s.Pick(later.Add(2*window), gallery, 0)
 	is.True(share(s, "b") > 0)
 }
+
+// Of three endpoints, one turns every request away while the others serve: it is ejected.
+// While all of them turn requests away, they are full rather than faulty, and none is.
+func TestEjectorCountsShedRequestsWithAlternative(t *testing.T) {
+	for _, tt := range []struct {
+		name            string
+		othersServe, to bool
+		ejected         int
+	}{
+		{"one sheds, others serve", true, false, 1},
+		{"all shed", false, false, 0},
+		{"all shed, another pool has room", false, true, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := keelroute.NewEjector(keelroute.EjectorConfig{})
+			views := endpointViews(3)
+			for i := range views {
+				e.Add(views[i].ID)
+				e.Observe(epoch, views[i].ID, true, time.Millisecond)
+			}
+			e.SetAlternative(epoch, tt.to)
+			for range 10 {
+				for i := range views {
+					if i > 0 && tt.othersServe {
+						e.Observe(epoch, views[i].ID, true, time.Millisecond)
+						continue
+					}
+					e.ObserveShed(epoch, views[i].ID)
+				}
+			}
+			n := 0
+			for i := range views {
+				if e.Ejected(epoch, views[i].ID) {
+					n++
+				}
+			}
+			is.Equal(n, tt.ejected)
+		})
+	}
+}
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -103,7 +104,9 @@
 	// err is the error that broke off the answer, and ctxErr that of the context at
 	// this time. The context of a forwarded request ends when the failure is passed on.
 	err, ctxErr error
-	once        sync.Once
+	// shed is whether the endpoint turned the request away.
+	shed bool
+	once sync.Once
 }
 
 // Read records an error that broke off the answer.
@@ -123,6 +126,19 @@
 	return err
 }
 
+func (b *observedBody) answeredOutcome() keeladmit.Outcome {
+	if b.shed {
+		return keeladmit.OutcomeShed
+	}
+	return keeladmit.OutcomeOK
+}
+
+// turnedAway reports whether the status of an answer means that the endpoint takes no
+// requests now.
+func turnedAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 func (b *observedBody) endAnswer() {
 	switch {
 	case b.err != nil && b.ctxErr == nil:
@@ -136,6 +152,6 @@
 		b.end(outcome)
 	default:
 		b.e.cfg.Guard.Answered(b.fp, b.target.ID)
-		b.end(keeladmit.OutcomeOK)
+		b.end(b.answeredOutcome())
 	}
 }
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -261,7 +261,7 @@
 			"endpoint": t.ID.String(), "request": r.ID, "leaving": answer.Notice.Leaving, "pause_ms": answer.Notice.RetryAfter.Milliseconds(),
 		}).Info("endpoint wants no requests")
 	}
-	x.ReadCloser = answer.Body
+	x.ReadCloser, x.shed = answer.Body, turnedAway(answer.Status)
 	answer.Body = x
 	return answer, nil
 }
--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -24,7 +24,9 @@
 type failingEndpoint struct {
 	net.Listener
 	stalls, silent bool
-	requests       atomic.Int64
+	// sheds makes it answer every request with 503.
+	sheds    bool
+	requests atomic.Int64
 	// leave ends the request that is received next, if it is set.
 	leave atomic.Pointer[context.CancelFunc]
 }
@@ -63,7 +65,10 @@
 				time.AfterFunc(patience, *leave)
 			}
 		}
-		if err == nil && !f.silent {
+		if err == nil && f.sheds {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nKeel-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get(keelproxy.HeaderRequestID))
+		}
+		if err == nil && !f.silent && !f.sheds {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeel-Request-Id: %s\r\nContent-Length: 50\r\n\r\npart", r.Header.Get(keelproxy.HeaderRequestID))
 		}
 		if !f.stalls {
@@ -159,6 +164,37 @@
 	}
 }
 
+// The only endpoint of a failure domain turns every request away. As long as another domain has
+// slots, the endpoint soon gets no more requests, so that they go there. If not, it goes on
+// getting them: it may be full.
+func TestOnlyEndpointSheds(t *testing.T) {
+	const requests = 20
+	for farSlots, sent := range map[int]int64{4: 10, 0: requests} {
+		t.Run(fmt.Sprintf("%d slots elsewhere", farSlots), func(t *testing.T) {
+			is := is.New(t)
+			f := newFailingEndpoint(t)
+			f.sheds = true
+			e := f.engine(t, farSlots)
+			send := func(id string) {
+				a, err := e.RunRequest(t.Context(), &keelproxy.Request{ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/" + id, Timeout: failTimeout})
+				if err != nil {
+					is.Equal(keel.VerdictOf(err), keel.NotRun)
+					return
+				}
+				is.Equal(a.Status, http.StatusServiceUnavailable)
+				_ = a.Body.Close()
+			}
+			for i := 0; f.requests.Load() == 0; i++ { // until the instance owns the endpoint
+				send(fmt.Sprint("first-", i))
+			}
+			for i := range requests - 1 {
+				send(fmt.Sprint("request-", i))
+			}
+			is.Equal(f.requests.Load(), sent)
+		})
+	}
+}
+
 // The only endpoint of a failure domain answers nothing, and callers leave before the
 // deadline. As long as another domain has slots, the endpoint soon gets no more requests.
 func TestOnlyEndpointIsSilent(t *testing.T) {
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -103,8 +103,14 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.queue.Done(now, id, o, latency)
-	if o != keeladmit.OutcomeCancelled {
+	switch o {
+	case keeladmit.OutcomeCancelled:
+	case keeladmit.OutcomeShed:
+		p.ejector.ObserveShed(now, id)
+	default:
 		p.ejector.Observe(now, id, o == keeladmit.OutcomeOK, latency)
+	}
+	if o != keeladmit.OutcomeCancelled {
 		p.queue.Eject(id, p.blockedUntil(id))
 	}
 	p.startNext(now)
