keelplace: an endpoint that sheds requests with free slots is set aside, unless all of them do

Load: an endpoint turns requests away although it has room. Cause: each instance sees few of its refusals, and forgot them within a second, so that it was asked again and again; and where all endpoints do so, each counted as failing by turns, so that objects left the endpoints that had them cached.

--- a/keelplace/load.go
+++ b/keelplace/load.go
@@ -80,9 +80,9 @@
 )
 
 // healthy reports whether an endpoint is neither slow nor failing compared to the
-// others.
+// others, and has not shed requests with free slots.
 func (e *endpoint) healthy(now time.Time, means poolMeans) bool {
-	return e.relativeSlowdown(now, means.slowdown) == 1 && e.currentFailureRate(now) < max(failureRateThreshold, failureRateFactor*means.failureRate)
+	return !now.Before(e.setAsideUntil) && e.relativeSlowdown(now, means.slowdown) == 1 && e.currentFailureRate(now) < max(failureRateThreshold, failureRateFactor*means.failureRate)
 }
 
 // currentFailureRate returns the failure rate of an endpoint, decayed to now.
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -121,13 +121,15 @@
 	case GivenUp:
 		return
 	}
-	failure := 0.0
-	if o.Failed || o.Kind != Answered && !(o.Kind == Shed && o.Report.Known && o.Report.Full()) {
-		failure = 1
+	switch o.Kind {
+	case Shed:
+		p.recordShed(now, e, o.Report.Full())
+	case Answered:
+		p.recordTaken(e)
+	}
+	if !(o.Kind == Shed && p.shedsCommonly()) {
+		e.recordFailureRate(now, o)
 	}
-	before := e.currentFailureRate(now)
-	e.failureRate = before + (failure-before)*averageWeight
-	e.failureRateAt = now
 	times := p.processingTimesOf(route)
 	cached, uncached, _ := times.estimates()
 	expected := uncached
@@ -157,6 +159,18 @@
 	}
 }
 
+// recordFailureRate updates the failure rate with an outcome. A request that a full endpoint
+// shed is no failure.
+func (e *endpoint) recordFailureRate(now time.Time, o Outcome) {
+	failure := 0.0
+	if o.Failed || o.Kind != Answered && !(o.Kind == Shed && o.Report.Known && o.Report.Full()) {
+		failure = 1
+	}
+	before := e.currentFailureRate(now)
+	e.failureRate = before + (failure-before)*averageWeight
+	e.failureRateAt = now
+}
+
 // recordFailure counts a failed request and ejects the endpoint if there were
 // enough in a row. silent is whether the endpoint answered nothing at all during a
 // request that timed out.
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -41,6 +41,9 @@
 	limit       concurrencyLimit
 	inFlight    int
 	refusals    int
+	// shedRate is the moving average of requests that endpoints with free slots shed, from
+	// 0 to 1.
+	shedRate float64
 	// processing holds the processing times by route.
 	processing map[string]*processingTimes
 }
@@ -74,7 +77,11 @@
 	// suspected is whether the endpoint was ejected and has not answered since. It
 	// then gets one request at a time.
 	suspected bool
-	coldUntil time.Time
+	// setAsideUntil is until when the endpoint is used only if there is no healthy one, since
+	// it shed requests with free slots, and sheds the number of those since it answered.
+	setAsideUntil time.Time
+	sheds         int
+	coldUntil     time.Time
 	// pausedUntil is until when the endpoint wants no requests from this instance, and
 	// leavingSince since when none at all; zero if it did not say so.
 	pausedUntil, leavingSince time.Time
--- a/keelplace/replay_test.go
+++ b/keelplace/replay_test.go
@@ -51,6 +51,9 @@
 	spec    keelworld.Route
 
 	requests, inTarget, answered, refused, late int
+	// firstRank is the number of requests sent to the first endpoint of the order for the
+	// object.
+	firstRank int
 	// used holds the endpoints that requests for each object were sent to.
 	used map[string]map[string]bool
 	// routed counts requests by the regions of the caller and of the endpoint.
@@ -81,6 +84,10 @@
 	cached   []string
 	slowdown float64
 	dead     bool
+	// sheds is the fraction of requests that it turns away with free slots, and shed their
+	// number.
+	sheds float64
+	shed  int
 }
 
 type job struct {
@@ -187,9 +194,17 @@
 	}
 	rp.used[object][c.Endpoint.ID] = true
 	rp.routed[[2]string{region, string(c.Endpoint.Domain)}]++
+	if c.Rank == 0 {
+		rp.firstRank++
+	}
 	p.Started(rp.now, c)
 	j := &job{pool: p, choice: c, object: object, arrived: rp.now}
 	s := rp.servers[c.Endpoint.ID]
+	if s.sheds > 0 && rp.rand.Float64() < s.sheds {
+		s.shed++
+		rp.end(s, j, keelplace.Shed)
+		return
+	}
 	if s.running >= replaySlots && len(s.waiting) >= replayQueue {
 		rp.refused++
 		rp.end(s, j, keelplace.Shed)
@@ -302,6 +317,34 @@
 	is.True(float64(rp.inTarget) >= 0.75*float64(rp.requests))
 }
 
+// One endpoint turns every request away although it has free slots. Each of 20 instances sees
+// few of its refusals, and must yet stop asking it; they try it again now and then.
+func TestReplaySheddingEndpoint(t *testing.T) {
+	is := is.New(t)
+	rp := newReplay(5, useAffinity)
+	s := rp.servers["r1-e0"]
+	rp.at(10*time.Second, func() { s.sheds = 1 })
+	rp.run(30*time.Second, 50)
+	t.Logf("%d of %d within target, %d turned away", rp.inTarget, rp.requests, s.shed)
+	// A sixth of its region's 50 requests per second would go there for 20 s. Fewer than half
+	// of these may be turned away, although each instance detects it alone.
+	is.True(s.shed < 20*50/6/2)
+	is.True(s.shed > 0)
+}
+
+// All endpoints turn half of the requests away although they have free slots. Avoiding one
+// gains nothing then: objects stay where they are cached.
+func TestReplayAllEndpointsShed(t *testing.T) {
+	is := is.New(t)
+	rp := newReplay(6, useAffinity)
+	for _, s := range rp.servers {
+		s.sheds = 0.5
+	}
+	rp.run(30*time.Second, 50)
+	t.Logf("%d of %d requests at the first endpoint of their object", rp.firstRank, rp.requests)
+	is.True(float64(rp.firstRank) >= 0.8*float64(rp.requests-rp.refused))
+}
+
 // When half of a region's endpoints stop answering at once while their connections
 // stay open, few requests may be lost until all instances have ejected them.
 func TestReplayDeadEndpoints(t *testing.T) {
