keelentry: answers of more than 16 KiB are streamed

Answers of up to 256 KiB were read whole first, so that an incomplete one could be replaced. Change: that is kept up to 16 KiB. Larger answers are passed on as they come; one that breaks off on the way is cut off, which its caller sees.

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -46,10 +46,16 @@
 	priorWait time.Duration
 }
 
-// maxBufferedBytes is the size up to which bodies of requests and answers are
-// buffered. Larger ones are streamed, and a request with such a body is not
-// retried.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the size up to which bodies of requests are buffered. Larger
+	// ones are streamed, and a request with such a body is not retried.
+	maxBufferedBytes = 256 << 10
+	// maxBufferedAnswer is the size up to which bodies of answers are buffered, so that an
+	// incomplete one can be replaced by that of another endpoint. Larger ones are streamed:
+	// the caller would wait for the transfer twice, once on the way to this instance and
+	// once from it, which takes longer than the work itself on a narrow link.
+	maxBufferedAnswer = 16 << 10
+)
 
 const (
 	// unconfirmedAge is the age from which a view may lack a route that is in force.
@@ -217,7 +223,8 @@
 	t.shedWithCapacity = o.Kind == keelplace.Shed && !o.Report.Full() && !t.paused
 	if !t.shedWithCapacity {
 		// An endpoint that shed the request despite free slots may accept the next
-		// attempt, and may have the object cached.
+		// attempt, and may have the object cached. The pool sets it aside if others are
+		// healthy.
 		t.excluded = append(t.excluded, e.ID)
 	}
 	if o.Kind == keelplace.Unreachable || o.Kind == keelplace.Elsewhere {
@@ -311,16 +318,16 @@
 	return false
 }
 
-// bufferAnswer reads the body of an answer if it has at most [maxBufferedBytes].
+// bufferAnswer reads the body of an answer if it has at most [maxBufferedAnswer].
 func bufferAnswer(a *keelproxy.Answer) error {
-	if a.ContentLength > maxBufferedBytes {
+	if a.ContentLength > maxBufferedAnswer {
 		return nil
 	}
-	data, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	data, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer+1))
 	if err != nil && !keelproxy.CleanEnd(err) {
 		return errors.Wrap(err, "body is incomplete")
 	}
-	if len(data) > maxBufferedBytes {
+	if len(data) > maxBufferedAnswer {
 		a.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(data), a.Body), Closer: a.Body}
 		return nil
 	}
