keelproxy, keelentry: a refusal that further bytes follow proves nothing

Change: before a refusal is believed, the connection is checked for bytes behind it; then the verdict is may-have-run and the connection is closed.

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -283,6 +283,8 @@
 		return nil, keel.Refuse(verdict, reason, 0, "endpoint %s: %s", e.ID, text), o
 	}
 	switch {
+	case (facts.WrongEndpoint || facts.NotRun) && keelproxy.Followed(a.Body):
+		return drop(keelplace.Broken, keel.MayHaveRun, keel.ReasonEndpointFailed, "sent further bytes after a refusal, which proves nothing then")
 	case facts.WrongEndpoint:
 		return drop(keelplace.Elsewhere, keel.NotRun, keel.ReasonOverload, "its address belongs to another endpoint")
 	case facts.NotRun:
--- a/keelproxy/body.go
+++ b/keelproxy/body.go
@@ -40,6 +40,14 @@
 	_ = body.Close() // the answer is dropped in any case
 }
 
+// Followed reports whether an endpoint has sent further bytes after an answer with this body,
+// of which a short rest is read and dropped. Its answers and the requests are out of step
+// then: the answer may be that to an earlier request, and the next bytes that to this one.
+func Followed(body io.ReadCloser) bool {
+	b, ok := body.(interface{ Followed() bool })
+	return ok && b.Followed()
+}
+
 // requestBody reads the body of a request for an endpoint and records a read
 // error, so that it can be told from an error of the endpoint's connection.
 type requestBody struct {
--- a/keelproxy/endpointanswer.go
+++ b/keelproxy/endpointanswer.go
@@ -88,11 +88,30 @@
 // Discard closes the body. It first reads a short rest, so that the connection can
 // be reused, but does not wait for one that the endpoint may never send.
 func (b *answerBody) Discard() {
+	b.readRest()
+	_ = b.Close() // never fails
+}
+
+// readRest reads a short rest of the body, which is dropped.
+func (b *answerBody) readRest() {
 	deadline := time.Now().Add(discardTimeout)
 	if !b.atEnd && b.conn.nc.SetReadDeadline(deadline) == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes)) // without the end, the connection is closed
 	}
-	_ = b.Close() // never fails
+}
+
+// Followed reports whether the endpoint has sent further bytes after the answer. A short rest
+// of the body is read and dropped first.
+func (b *answerBody) Followed() bool {
+	b.readRest()
+	if !b.atEnd {
+		return false
+	}
+	if b.conn.r.Buffered() > 0 {
+		return true
+	}
+	n, err := b.conn.peeker.peek()
+	return n > 0 && err == nil
 }
 
 // Close returns the connection to the idle ones if it may be reused and the
