keelplace: objects leave a region whose endpoints can't keep them cached

Cause: the share followed free slots only. Change: an instance measures how many requests for objects that it had answered there lately take as long as uncached ones.

--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -38,6 +38,7 @@
 	budget      budget
 	spec        keelworld.Service
 	regionShare regionShare
+	misses      missLimit
 	limit       concurrencyLimit
 	inFlight    int
 	refusals    int
