--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -151,9 +151,6 @@
 		return // the processing time can't be separated from the wait
 	}
 	processing := float64(o.Took - c.Wait)
-	if c.Cached && e.region == p.cfg.Location.Region && times.uncached.n > 0 {
-		p.misses.record(o.Took-c.Wait, cached, uncached)
-	}
 	times.overall.add(processing)
 	if c.Cached {
 		times.cached.add(processing)
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -38,7 +38,6 @@
 	budget      budget
 	spec        keelworld.Service
 	regionShare regionShare
-	misses      missLimit
 	limit       concurrencyLimit
 	inFlight    int
 	refusals    int
--- a/keelplace/share.go
+++ b/keelplace/share.go
@@ -49,15 +49,13 @@
 	if demand := p.currentDemand(now) * float64(p.capacity.regionInstances); demand > 0 {
 		target = min(targetUtilisation*float64(local)/demand, 1)
 	}
-	step := shiftFraction * p.cfg.MaxShift * float64(now.Sub(p.regionShare.updatedAt)) / float64(shiftWindow)
-	evenShare := min(float64(local)*float64(regions)/float64(total), 1)
-	target = min(target, p.misses.shareLimit(now, p.regionShare.share, step, evenShare))
-	if target < evenShare {
+	if evenShare := min(float64(local)*float64(regions)/float64(total), 1); target < evenShare {
 		// If the other regions are full too, sending them more gains nothing.
 		if use, known := p.remoteUtilisation(now); known && use > fullUtilisation {
 			target = evenShare
 		}
 	}
+	step := shiftFraction * p.cfg.MaxShift * float64(now.Sub(p.regionShare.updatedAt)) / float64(shiftWindow)
 	p.regionShare.share += min(max(target-p.regionShare.share, -step), step)
 	p.regionShare.updatedAt = now
 	return p.regionShare.share
