keelpeer: a test of calls over TCP opens the connection before its short deadline

A call whose connection is not open by its deadline is not sent, and since the dials are shared it is reported as unreachable, which is the more exact error. The check is unchanged; the connection is opened by another call first.

--- a/keelpeer/callclient_test.go
+++ b/keelpeer/callclient_test.go
@@ -81,9 +81,11 @@
 			is.NoErr(err)
 		}},
 		{"no answer before the deadline", func(is *is.I, ctx context.Context, v *fixture, c *keelpeer.CallClient) {
+			_, err := c.Call(ctx, v.b.Addr(), keel.Envelope{Kind: kindEcho}) // opens the connection
+			is.NoErr(err)
 			ctx, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 			defer cancel()
-			_, err := c.Call(ctx, v.b.Addr(), keel.Envelope{Kind: kindHang})
+			_, err = c.Call(ctx, v.b.Addr(), keel.Envelope{Kind: kindHang})
 			is.True(errors.Is(err, keelpeer.ErrOutcomeUnknown))
 		}},
 		{"cancelled call has an unknown outcome", func(is *is.I, ctx context.Context, v *fixture, c *keelpeer.CallClient) {
