keelstore: log files that are back after a loss of power don't keep a voter from starting

Each removal is kept or lost independently if power is lost before that; with some of the files back, others not, the folder counted as damaged ("log file 3 is missing") and the process ended at each start.

--- a/keelstore/damage_test.go
+++ b/keelstore/damage_test.go
@@ -240,3 +240,44 @@
 		})
 	}
 }
+
+// TestRemovedFilesReturn loses power after a snapshot has replaced log files whose removal was
+// not synced: any of them may be back, without the others. The state is the same.
+func TestRemovedFilesReturn(t *testing.T) {
+	is := is.New(t)
+	dir := filledFolder(t)
+	before := map[string][]byte{}
+	for _, name := range logFiles(t, dir) {
+		data, err := os.ReadFile(name)
+		is.NoErr(err)
+		before[name] = data
+	}
+	s, err := keelstore.Open(keelstore.Config{Dir: dir, SegmentSize: 120})
+	is.NoErr(err)
+	_, err = s.Load()
+	is.NoErr(err)
+	is.NoErr(s.SaveSnapshot(keel.StoredSnapshot{Index: 18, Term: 1, Voters: []keel.Voter{{Name: "a", Incarnation: 1}}, Data: []byte("later")}))
+	is.NoErr(s.Close())
+	kept := logFiles(t, dir)
+	var removed []string
+	for name := range before {
+		if !slices.Contains(kept, name) {
+			removed = append(removed, name)
+		}
+	}
+	slices.Sort(removed)
+	is.True(len(removed) >= 3)
+	for subset := 1; subset < 1<<min(len(removed), 6); subset++ {
+		for i, name := range removed[:min(len(removed), 6)] {
+			if subset&(1<<i) != 0 {
+				is.NoErr(os.WriteFile(name, before[name], 0o600))
+			} else if err := os.Remove(name); err != nil && !os.IsNotExist(err) {
+				t.Fatal(err)
+			}
+		}
+		last, err := lastEntry(dir)
+		if err != nil || last != 20 {
+			t.Errorf("subset %b of %d removed files is back: last entry %d, %v", subset, len(removed), last, err)
+		}
+	}
+}
--- a/keelstore/folder.go
+++ b/keelstore/folder.go
@@ -45,6 +45,9 @@
 	// dataOffset is the offset of the data in the snapshot file, in bytes.
 	dataOffset int64
 	segments   []segmentFile
+	// leftovers are the paths of log files that the snapshot replaced and that are back
+	// after a loss of power, since their removal was not synced.
+	leftovers []string
 	// base is the entry before the first of entries.
 	base    position
 	entries []keel.LogEntry
@@ -71,7 +74,7 @@
 		return fo, err
 	}
 	hasSnapshot := fo.dataOffset != 0
-	if fo.segments, err = readSegments(dir); err != nil {
+	if err := fo.readSegments(dir); err != nil {
 		return fo, err
 	}
 	if !hasVote && (hasSnapshot || len(fo.segments) > 0) {
@@ -128,34 +131,41 @@
 	fo.base = snap
 }
 
-func readSegments(dir string) ([]segmentFile, error) {
+// readSegments reads the log files. Those before a missing one are leftovers if the file after
+// it continues an entry that the snapshot covers: it was started when the log ended there, so
+// that they hold nothing that is still part of the log.
+func (fo *folderContents) readSegments(dir string) error {
 	paths, err := filepath.Glob(filepath.Join(dir, logGlob))
 	if err != nil {
-		return nil, errors.Wrapf(err, "list log files in %s", dir)
+		return errors.Wrapf(err, "list log files in %s", dir)
 	}
 	slices.Sort(paths)
 	var files []segmentFile
 	for i, path := range paths {
 		f := segmentFile{path: path}
 		if _, err := fmt.Sscanf(filepath.Base(path), logPattern, &f.seq); err != nil {
-			return nil, &DamageError{path, 0, "file name has no number"}
-		}
-		if i > 0 && f.seq != files[i-1].seq+1 {
-			return nil, &DamageError{path, 0, fmt.Sprintf("log file %d is missing", files[i-1].seq+1)}
+			return &DamageError{path, 0, "file name has no number"}
 		}
 		b, err := os.ReadFile(path)
 		if err != nil {
-			return nil, errors.Wrap(err, "read log")
+			return errors.Wrap(err, "read log")
 		}
 		if f.Segment, err = ReadSegment(path, b); err != nil {
-			return nil, err
+			return err
 		}
 		if f.Torn && i < len(paths)-1 {
-			return nil, &DamageError{path, f.Size, "record is incomplete, but another log file follows"}
+			return &DamageError{path, f.Size, "record is incomplete, but another log file follows"}
+		}
+		if n := len(files); n > 0 && f.seq != files[n-1].seq+1 {
+			if f.BaseIndex > fo.snapshot.Index {
+				return &DamageError{path, 0, fmt.Sprintf("log file %d is missing", files[n-1].seq+1)}
+			}
+			fo.leftovers, files = paths[:i], nil
 		}
 		files = append(files, f)
 	}
-	return files, nil
+	fo.segments = files
+	return nil
 }
 
 // readVote reads the vote file and reports whether it exists.
--- a/keelstore/store.go
+++ b/keelstore/store.go
@@ -107,6 +107,11 @@
 	if fo.fresh {
 		return s.create(fo.vote)
 	}
+	for _, path := range fo.leftovers {
+		if err := os.Remove(path); err != nil {
+			return errors.Wrap(err, "remove log")
+		}
+	}
 	s.vote, s.base, s.dataOffset = fo.vote, fo.base, fo.dataOffset
 	for i := range fo.entries {
 		s.terms = append(s.terms, fo.entries[i].Term)
