--- a/keelpeer/calldial.go
+++ b/keelpeer/calldial.go
@@ -35,8 +35,8 @@
 	err  error
 }
 
-// connect returns a connection that no other call uses. The error is [ErrUnreachable] or
-// [ErrClosed].
+// connect returns a connection that no other call uses. It is a
+// [fasthttp.DialFuncWithTimeout]. The error is [ErrUnreachable] or [ErrClosed].
 func (d *callDialer) connect(_ string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 {
 		timeout = dialTimeout
--- a/keelpeer/handshake.go
+++ b/keelpeer/handshake.go
@@ -20,7 +20,7 @@
 	maxWaitingHandshakes = 128
 )
 
-// errHandshakeRefused is returned to a client that should connect to another instance.
+// errHandshakeRefused ends a handshake whose client should connect to another instance.
 var errHandshakeRefused = errors.New("too many handshakes are waiting")
 
 // handshakeGate limits the handshakes of a server, for when many instances start at once
