keelpeer, keelrole: an instance that runs out of file descriptors goes on accepting connections

Change: the listeners of steer, and those of calls over TCP, wait 20 ms and accept again after errors that pass. The listeners of serve are not changed.

--- a/keelpeer/handshake.go
+++ b/keelpeer/handshake.go
@@ -48,7 +48,7 @@
 		}
 		return nil, g.enter(conn)
 	}
-	return tls.NewListener(&gatedListener{Listener: ln, gate: g}, cfg)
+	return tls.NewListener(&gatedListener{Listener: AcceptRetrier{ln}, gate: g}, cfg)
 }
 
 // enter waits for the turn of a connection.
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", at)
 	}
-	return ln, nil
+	return keelpeer.AcceptRetrier{Listener: ln}, nil
 }
 
 // Run serves until ctx ends, [Entry.Stop] has completed, or a component fails.
