--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts start. The program itself is built as the deploy file does.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+go build -o ../target/review/standin ./standin
