--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-go build -o ../target/review/standin ./standin
+CGO_ENABLED=0 go build -buildvcs=false -o ../target/review/standin ./standin
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	cases := map[string]func(s *system, trouble bool) int{
 		"evacuation": evacuation,
 		"poison":     poison,
+		"refused":    refused,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -31,8 +31,12 @@
 type zone struct{ name, region string }
 
 var zones = []zone{
-	{"dakar-plateau", "dakar"}, {"thies-nord", "thies"}, {"saint-louis-ile", "saint-louis"},
-	{"dakar-almadies", "dakar"}, {"thies-sud", "thies"}, {"saint-louis-sor", "saint-louis"},
+	{"dakar-plateau", "dakar"},
+	{"thies-nord", "thies"},
+	{"saint-louis-ile", "saint-louis"},
+	{"dakar-almadies", "dakar"},
+	{"thies-sud", "thies"},
+	{"saint-louis-sor", "saint-louis"},
 }
 
 // ports are the same on all machines.
