keelquorum, keelstore: a voter whose write failed returns to the quorum without a restart

Cause: after one failed write Node.Run left the quorum until the process ended, and nothing ends it. The voter stayed in the voter set and counted for the majority. Ruled out: a voter set that was not filled up again (six voters throughout), terms (no vote was given twice).

Change: Storage.Reopen makes the storage usable again once the disk accepts data; the node then continues with a new core from the stored state, as after a restart, and the applier skips what it has applied.

Same cause on related paths: a voter with failed storage acknowledged heartbeats that it then dropped, and now refuses them; a voter whose disk hangs named the leader of before and called its state current, and now names none.

TestAnnounceAtVoterWithFullDisk fails without the check. Tests of keelstore, keelquorum, keelsync and keelinstance are green.

--- a/keelquorum/apply.go
+++ b/keelquorum/apply.go
@@ -81,7 +81,9 @@
 }
 
 func (a *applier) execute(ctx context.Context, s applyStep) error {
-	if s.restore != nil {
+	// A core that was created after a failed write returns entries again.
+	applied := a.applied.Load()
+	if s.restore != nil && s.restore.Index > applied {
 		if err := a.restore(*s.restore); err != nil {
 			return err
 		}
@@ -89,6 +91,9 @@
 	}
 	for i := range s.entries {
 		e := &s.entries[i]
+		if e.Index <= applied {
+			continue
+		}
 		if e.Type == keel.EntryCommand {
 			a.node.cfg.Machine.Apply(e.Index, e.Data)
 		}
--- a/keelquorum/node.go
+++ b/keelquorum/node.go
@@ -29,6 +29,8 @@
 	inboxSize = 1024
 	// maxInputs limits the messages and calls processed between two disk syncs.
 	maxInputs = 512
+	// reopenInterval is the time between two attempts to use a failed storage again.
+	reopenInterval = 250 * time.Millisecond
 )
 
 // Config configures a [Node].
@@ -121,6 +123,8 @@
 	elections uint64
 	votes     int
 	lateness  lateness
+	// reopenError is the last logged error of an attempt to use the storage again.
+	reopenError string
 }
 
 // loopCall is run by the loop that owns the core. It receives a zero time if the
@@ -167,18 +171,22 @@
 		return nil, err
 	}
 	now := time.Now()
-	n.core = NewCore(CoreConfig{
-		Self: cfg.Self, Stored: st, Bootstrap: cfg.Bootstrap, Now: now, Seed: cfg.Seed,
-		Heartbeat: cfg.Heartbeat, Election: cfg.Election, TailEntries: uint64(cfg.SnapshotEvery),
-	})
+	n.core = n.newCore(now, st)
 	n.publishStatus(now, nil)
 	return n, nil
 }
 
-// Run runs the node until ctx ends. After a failed write or sync the node no
-// longer votes or replicates, reports the failure in its status, and waits for
-// ctx; the same process must not use the storage again. Run can be called only
-// once.
+// newCore returns a core with the stored state.
+func (n *Node) newCore(now time.Time, st keel.StoredState) *Core {
+	return NewCore(CoreConfig{
+		Self: n.cfg.Self, Stored: st, Bootstrap: n.cfg.Bootstrap, Now: now, Seed: n.cfg.Seed,
+		Heartbeat: n.cfg.Heartbeat, Election: n.cfg.Election, TailEntries: uint64(n.cfg.SnapshotEvery),
+	})
+}
+
+// Run runs the node until ctx ends. After a failed write the node does not vote or
+// replicate and reports the failure in its status, until the storage can be used
+// again. A failure of the state machine is final. Run can be called only once.
 func (n *Node) Run(ctx context.Context) error {
 	if !n.running.CompareAndSwap(false, true) {
 		return errors.New("node has already been started")
@@ -188,9 +196,11 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { n.applier.run(ctx) })
 	n.sender.start(ctx, &wg)
-	err := n.loop(ctx)
-	if err != nil {
-		n.runFailed(ctx, err)
+	for {
+		err := n.loop(ctx)
+		if err == nil || !n.runFailed(ctx, err) {
+			break
+		}
 	}
 	cancel()
 	wg.Wait()
@@ -211,7 +221,7 @@
 		case <-ctx.Done():
 			return nil
 		case err := <-n.applier.failed:
-			return err
+			return &machineError{err}
 		case m := <-n.inbox:
 			n.core.Step(time.Now(), m)
 		case f := <-n.calls:
@@ -301,26 +311,6 @@
 	return complete
 }
 
-// runFailed runs a node whose storage or state machine has failed, until ctx
-// ends. It discards messages and rejects calls.
-func (n *Node) runFailed(ctx context.Context, err error) {
-	n.cfg.Log.WithError(err).Error("storage or state machine failed, voter no longer participates in the quorum")
-	if m, ok := n.core.Resign(time.Now()); ok {
-		n.sender.send([]Message{m})
-	}
-	n.publishStatus(time.Now(), err)
-	n.failWaiters()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.inbox:
-		case f := <-n.calls:
-			f(time.Time{})
-		}
-	}
-}
-
 // checkWatchers completes the watchers whose condition holds or has failed.
 func (n *Node) checkWatchers(now time.Time) {
 	kept := n.watchers[:0]
@@ -340,9 +330,9 @@
 // is the failure of the storage or the state machine, if any.
 func (n *Node) publishStatus(now time.Time, err error) {
 	st := n.core.Status(now)
+	st.publishedAt = now
 	if err != nil {
-		st.Role, st.Leader, st.LeaseValid = string(RoleFollower), "", false
-		st.leaseUntil = time.Time{}
+		st.clearLeadership()
 		st.StorageFailure = err.Error()
 	}
 	n.status.Store(&st)
@@ -356,11 +346,17 @@
 }
 
 // Status returns the state of the node. The validity of the lease is that at the
-// time of the call.
+// time of the call. No leader is known while the node has not run for an election
+// timeout, since it waits for its disk or the process was suspended: another leader
+// may have been elected.
 func (n *Node) Status() Status {
 	st := *n.status.Load()
 	st.Applied = n.applier.applied.Load()
-	st.LeaseValid = st.LeaseValid && time.Now().Before(st.leaseUntil)
+	now := time.Now()
+	st.LeaseValid = st.LeaseValid && now.Before(st.leaseUntil)
+	if now.Sub(st.publishedAt) >= n.cfg.Election {
+		st.clearLeadership()
+	}
 	return st
 }
 
--- a/keelquorum/node_test.go
+++ b/keelquorum/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -99,6 +100,11 @@
 	return m.set(func() error { m.list = nil; return json.NewDecoder(r).Decode(&m.list) })
 }
 
+func (m *listMachine) commands() (list []string) {
+	_ = m.set(func() error { list = append(list, m.list...); return nil })
+	return list
+}
+
 func (m *listMachine) text() (s string) {
 	_ = m.set(func() error { s = fmt.Sprint(m.list); return nil })
 	return s
@@ -235,7 +241,9 @@
 	is.NoErr(g.nodes["a"].AddVoter(g.ctx, "b"))
 	is.NoErr(g.nodes["a"].AddVoter(g.ctx, "c"))
 	is.True(errors.Is(g.nodes["a"].RemoveVoter(g.ctx, "a"), keelquorum.ErrLeaderRemoval))
-	g.disks["a"].(*keelstore.Memory).FailSync(1, 0)
+	disk := g.disks["a"].(*keelstore.Memory)
+	disk.FailReopen(keelstore.ErrInjected)
+	disk.FailSync(1, 0)
 	_, err := g.nodes["a"].Propose(g.ctx, []byte("last"))
 	is.True(errors.Is(err, keelquorum.ErrUnknownOutcome))
 	_, err = g.nodes["a"].Propose(g.ctx, []byte("none"))
@@ -250,3 +258,110 @@
 	is.NoErr(l.RemoveVoter(g.ctx, "a"))
 	is.Equal(len(l.Status().Voters), 2)
 }
+
+// The disk of one leader after the other refuses a write and accepts data again later. Without
+// voters that return to the quorum in the same process, the second failure leaves no majority.
+func TestNodesReturnAfterStorageFailures(t *testing.T) {
+	is := is.New(t)
+	names := []keel.InstanceName{"a", "b", "c"}
+	g := newGroup(t, 30*time.Millisecond, names...)
+	for _, name := range names {
+		g.start(name, names)
+	}
+	var accepted []string
+	uncertain := map[string]bool{} // proposals with an unknown outcome
+	count, failed := 0, keel.InstanceName("")
+	// via returns a voter whose storage works.
+	via := func() keel.InstanceName {
+		if failed == names[count%len(names)] {
+			return names[(count+1)%len(names)]
+		}
+		return names[count%len(names)]
+	}
+	add := func() {
+		// More than the entries between two snapshots, so that a restarted core meets both.
+		for range g.snapshotEvery + 5 {
+			count++
+			data := fmt.Sprint(count)
+			if _, err := g.awaitLeader(via()).Propose(g.ctx, []byte(data)); err != nil {
+				uncertain[data] = true
+				continue
+			}
+			accepted = append(accepted, data)
+		}
+	}
+	add()
+	for round := range 6 {
+		leader := g.awaitLeader(via())
+		self := leader.Status().Self
+		disk := g.disks[self].(*keelstore.Memory)
+		disk.FailReopen(keelstore.ErrInjected)
+		disk.FailSync(1, round%2)
+		_, err := leader.Propose(g.ctx, []byte("failed"))
+		is.True(err != nil)
+		uncertain["failed"] = true
+		for leader.Status().StorageFailure == "" {
+			is.NoErr(g.ctx.Err())
+		}
+		failed = self
+		add() // by the others
+		disk.FailReopen(nil)
+		for leader.Status().StorageFailure != "" {
+			is.NoErr(g.ctx.Err())
+		}
+		failed = ""
+	}
+	is.True(len(accepted) > 6*g.snapshotEvery)
+	for _, name := range names {
+		var got []string
+		for len(got) < len(accepted) {
+			is.NoErr(g.ctx.Err())
+			got = slices.DeleteFunc(g.machines[name].commands(), func(c string) bool { return uncertain[c] })
+		}
+		is.Equal(got, accepted) // none is lost or applied twice
+	}
+}
+
+// blockingStorage is a storage whose writes hang while it is locked.
+type blockingStorage struct {
+	*keelstore.Memory
+	mu sync.Mutex
+}
+
+func (s *blockingStorage) Append(entries []keel.LogEntry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Memory.Append(entries)
+}
+
+// The disk of a follower hangs. Its status is that of the time before, which would make an old
+// state appear current: it must not name a leader once another one may have been elected.
+func TestNoLeaderKnownWhileDiskHangs(t *testing.T) {
+	is := is.New(t)
+	names := []keel.InstanceName{"a", "b", "c"}
+	g := newGroup(t, 30*time.Millisecond, names...)
+	disks := map[keel.InstanceName]*blockingStorage{}
+	for _, name := range names {
+		disks[name] = &blockingStorage{Memory: keelstore.NewMemory()}
+		g.disks[name] = disks[name]
+		g.start(name, names)
+	}
+	g.propose("a", "1")
+	leader := g.awaitLeader("a").Status().Self
+	follower := names[0]
+	if leader == follower {
+		follower = names[1]
+	}
+	disks[follower].mu.Lock()
+	unblock := sync.OnceFunc(disks[follower].mu.Unlock)
+	t.Cleanup(unblock)
+	g.propose(leader, "2") // committed by the other two
+	for g.nodes[follower].Status().Leader != "" {
+		is.NoErr(g.ctx.Err())
+	}
+	unblock()
+	for g.nodes[follower].Status().Leader == "" {
+		is.NoErr(g.ctx.Err())
+	}
+	g.machines[follower].await(2)
+}
--- a/keelquorum/status.go
+++ b/keelquorum/status.go
@@ -35,9 +35,17 @@
 	// with its own.
 	Elections uint64 `json:"elections,omitempty"`
 	Votes     int    `json:"votes,omitempty"`
-	// StorageFailure is the error after which the instance stopped voting.
+	// StorageFailure is the error because of which the instance does not vote.
 	StorageFailure string `json:"storage_failure,omitempty"`
 
 	// leaseUntil is when the lease ends.
 	leaseUntil time.Time
+	// publishedAt is when the loop of the node published the status.
+	publishedAt time.Time
+}
+
+// clearLeadership makes st that of a follower without a known leader.
+func (st *Status) clearLeadership() {
+	st.Role, st.Leader, st.LeaseValid = string(RoleFollower), "", false
+	st.leaseUntil = time.Time{}
 }
--- a/keelstore/errors.go
+++ b/keelstore/errors.go
@@ -20,8 +20,8 @@
 }
 
 // FailedError is returned by every operation of a store after a write or a sync
-// failed, or after the store was closed. The data of the failed write may or may
-// not be on the disk.
+// failed, until [Store.Reopen] succeeds, or after the store was closed. The data of
+// the failed write may or may not be on the disk.
 type FailedError struct {
 	// Op names what was being written. It is "close" if the store was closed.
 	Op string
@@ -31,7 +31,7 @@
 
 // Error names the write that failed and its cause.
 func (e *FailedError) Error() string {
-	return fmt.Sprintf("store failed at %s and rejects every operation until a restart: %v", e.Op, e.Err)
+	return fmt.Sprintf("store failed at %s and rejects every operation until it is reopened: %v", e.Op, e.Err)
 }
 
 // Unwrap returns the first failure.
--- a/keelstore/memory.go
+++ b/keelstore/memory.go
@@ -23,6 +23,8 @@
 	writesUntilFailure int
 	// keptOnFailure is the number of entries that a failing Append stores.
 	keptOnFailure int
+	// reopenFailure is the error of Reopen, or nil if it works.
+	reopenFailure error
 }
 
 var (
@@ -50,11 +52,23 @@
 	m.writesUntilFailure, m.keptOnFailure = n, kept
 }
 
+// FailReopen makes [Memory.Reopen] fail with err, as a disk that is still full does;
+// nil makes it work again.
+func (m *Memory) FailReopen(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reopenFailure = err
+}
+
 // Reopen makes a failed storage usable again, as a restart does.
-func (m *Memory) Reopen() {
+func (m *Memory) Reopen() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.reopenFailure != nil {
+		return m.reopenFailure
+	}
 	m.failed, m.writesUntilFailure = nil, 0
+	return nil
 }
 
 // LoseDisk discards all content and sets a new incarnation number, as the
@@ -63,7 +77,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = keel.StoredState{Vote: keel.StoredVote{Incarnation: incarnation}}
-	m.failed, m.writesUntilFailure = nil, 0
+	m.failed, m.writesUntilFailure, m.reopenFailure = nil, 0, nil
 }
 
 // Load returns the stored state.
--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -100,8 +100,13 @@
 
 // Announce handles the announcement of an endpoint. For a serving endpoint it does
 // not wait for the commit. If the endpoint drains or leaves, it returns once that
-// is committed; after an error it may or may not be committed.
+// is committed; after an error it may or may not be committed. A voter whose storage
+// failed returns an error, since its reports to the leader would be lost: the endpoint
+// is to send its announcements to another voter.
 func (v *Voter) Announce(ctx context.Context, e *keelworld.Endpoint) error {
+	if failure := v.node.Status().StorageFailure; failure != "" {
+		return errors.Errorf("storage failed: %s", failure)
+	}
 	now := time.Now()
 	current, age, ok := v.machine.endpoint(e.ID, now)
 	if e.State != keelworld.EndpointLeft {
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -71,7 +71,9 @@
 		disk = keelstore.NewMemory()
 		w.disks[name] = disk
 	}
-	disk.Reopen()
+	if err := disk.Reopen(); err != nil {
+		w.t.Fatal(err)
+	}
 	network := w.hub.Join(keel.InstanceName(name), addrOf(name))
 	v, err := keelsync.NewVoter(keelsync.VoterConfig{
 		Self: keelworld.Node{
@@ -431,6 +433,28 @@
 	})
 }
 
+// The disk of a voter is full. The voter reports nothing to the leader, so that endpoints which
+// it acknowledged would be taken for silent: they must be sent on to another voter.
+func TestAnnounceAtVoterWithFullDisk(t *testing.T) {
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	e := keelworld.Endpoint{
+		ID: "e", Incarnation: 1, Sequence: 1, State: keelworld.EndpointServing, Service: "a", Domain: "d0",
+		Address: netip.MustParseAddrPort("10.0.2.1:80"), Slots: 2,
+	}
+	is.NoErr(voters[names[5]].Announce(w.ctx, &e))
+	disk := w.disks[names[5]]
+	disk.FailReopen(keelstore.ErrInjected)
+	disk.FailSync(1, 0)
+	w.submit(voters[names[0]], patch(item("a", 7)))
+	w.waitFor("the write fails", func() bool { return voters[names[5]].Status().StorageFailure != "" })
+	e.Sequence++
+	is.True(voters[names[5]].Announce(w.ctx, &e) != nil)
+	disk.FailReopen(nil)
+	w.waitFor("the voter takes part again", func() bool { return voters[names[5]].Announce(w.ctx, &e) == nil })
+	is.Equal(w.versionOf(voters[names[5]], "a"), keelworld.Version(7))
+}
+
 // An endpoint that is new to a long-standing leader is not marked silent before
 // the first liveness report that contains it arrives.
 func TestNewEndpointIsNotSilent(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -31,6 +31,10 @@
 	// SaveSnapshot atomically replaces the stored snapshot and deletes the
 	// entries that the new one includes.
 	SaveSnapshot(s StoredSnapshot) error
+	// Reopen makes the storage usable again after a failed write, and fails while
+	// that is not possible. [Storage.Load] then returns the stored state, which may or
+	// may not include the data of the failed write.
+	Reopen() error
 	// Close releases the files.
 	Close() error
 }
