keelsync, keelworld, platform: orders that their callers have given up change nothing

Cause: the process read the order from the connection of a caller that had left, and committed it after the orders that the caller had sent elsewhere since.

Change: before each attempt the voter notes the applied index and asks the kernel whether the caller has closed the connection. The index goes with the order (Command.AsOf). The state ignores a drain that is older than the last order about the same failure domain, and a patch that is older than the last refused one; the voter tries such an order again only if the caller still waits. Thus a pause after the check does no harm either.

--- a/keelproxy/peek.go
+++ b/keelproxy/peek.go
@@ -69,3 +69,7 @@
 	n, err := p.peek()
 	return n == 0 && err == nil // 0 bytes without an error is the end of the stream
 }
+
+// PeerClosed reports whether the other side of a connection has closed it and everything
+// that it sent was read. It reports false for a connection without a socket.
+func PeerClosed(c net.Conn) bool { return newPeeker(c).closed() }
--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,9 @@
 type batch struct {
 	command keelworld.Command
 	done    chan struct{}
-	// err is set before done is closed.
-	err error
+	// result and err are set before done is closed.
+	result keelworld.Result
+	err    error
 }
 
 func newBatcher(v *Voter) *batcher {
@@ -89,7 +91,7 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, batchTimeout)
-		_, c.err = b.voter.Submit(limited, &c.command)
+		c.result, c.err = b.voter.Submit(limited, &c.command, nil)
 		cancel()
 		if c.err != nil && ctx.Err() == nil {
 			b.voter.cfg.Log.WithError(c.err).Warn("announcements not accepted, they will be repeated")
@@ -134,7 +136,22 @@
 // Depart records that the current incarnation of an endpoint leaves and returns
 // once that is committed. After an error it may or may not be committed. The
 // incarnation is determined when the command is applied, since this voter may lag
-// behind the log.
-func (v *Voter) Depart(ctx context.Context, id string) error {
-	return v.batcher.addEndpoint(&keelworld.Endpoint{ID: id, State: keelworld.EndpointLeft}).wait(ctx)
+// behind the log. callerLeft reports whether the endpoint has given the call up, as in
+// [Voter.Submit]: a later incarnation must not leave because of it.
+func (v *Voter) Depart(ctx context.Context, id string, callerLeft func() bool) error {
+	known := uint64(0)
+	for {
+		e := keelworld.Endpoint{ID: id, State: keelworld.EndpointLeft, AsOf: max(v.machine.index(), known)}
+		if callerLeft != nil && callerLeft() {
+			return ErrCallerLeft
+		}
+		b := v.batcher.addEndpoint(&e)
+		if err := b.wait(ctx); err != nil {
+			return err
+		}
+		if !slices.Contains(b.result.OutdatedLeaves, id) {
+			return nil
+		}
+		known = b.result.Index
+	}
 }
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -90,6 +90,8 @@
 func (m *stateMachine) logApplied(index uint64, c *keelworld.Command, r *keelworld.Result) {
 	l := m.log.WithFields(logrus.Fields{"index": index, "command": c.ID})
 	switch {
+	case r.Outdated:
+		l.WithField("as_of", c.AsOf).Info("outdated order ignored")
 	case c.Patch != nil && len(r.Faults) > 0:
 		l.WithField("faults", r.Faults.Error()).Info("patch refused")
 	case c.Patch != nil:
@@ -229,6 +231,13 @@
 	}
 }
 
+// index returns the index of the last applied entry.
+func (m *stateMachine) index() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Index()
+}
+
 // withState calls f with the state while mu is held. f must not retain the state.
 func (m *stateMachine) withState(f func(s *keelworld.State)) {
 	m.mu.Lock()
--- a/keelsync/propose.go
+++ b/keelsync/propose.go
@@ -18,22 +18,42 @@
 	submitRetryDelay = 40 * time.Millisecond
 )
 
+// ErrCallerLeft means that the caller of an order had closed its connection before a
+// leader got the order. What was submitted before may still take effect.
+var ErrCallerLeft = errors.New("the caller left before the order was submitted")
+
 // ErrNoLeader means that no leader confirmed a command in time. The command may
 // still take effect.
 var ErrNoLeader = errors.New("no leader confirmed the command")
 
 // Submit commits a command and returns its result. It retries until ctx ends and
 // then returns [ErrNoLeader]. A command may be proposed more than once but takes
-// effect only once.
-func (v *Voter) Submit(ctx context.Context, c *keelworld.Command) (keelworld.Result, error) {
+// effect only once. callerLeft reports whether the caller has given the command up, in
+// which case it is not submitted any more and Submit returns [ErrCallerLeft]; nil means
+// that there is no such caller.
+func (v *Voter) Submit(ctx context.Context, c *keelworld.Command, callerLeft func() bool) (keelworld.Result, error) {
+	known := uint64(0) // index of an entry that is known to be committed
 	for {
+		// The index is read first: the caller waited at that time, so that entries up
+		// to it can't hold what the caller sent after it had given up.
+		c.AsOf = max(v.machine.index(), known)
+		if callerLeft != nil && callerLeft() {
+			return keelworld.Result{}, ErrCallerLeft
+		}
 		// Each attempt has its own ID: the entry of an earlier attempt may have
 		// been applied already.
 		c.ID = v.newCommandID()
 		r, err := v.submitOnce(ctx, c)
-		if err == nil {
+		if err == nil && !r.Outdated {
 			return *r, nil
 		}
+		if err == nil {
+			known = r.Index
+			if ctx.Err() != nil {
+				return keelworld.Result{}, errors.Wrap(ctx.Err(), "submit an order that others have outdated")
+			}
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return keelworld.Result{}, errors.Join(ErrNoLeader, err)
@@ -114,7 +134,7 @@
 // an empty command through the leader, since the local state may lag.
 func (v *Voter) Read(ctx context.Context) ([]keelworld.Item, error) {
 	// The empty command is applied after every command acknowledged so far.
-	r, err := v.Submit(ctx, &keelworld.Command{})
+	r, err := v.Submit(ctx, &keelworld.Command{}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelstore"
@@ -130,7 +131,7 @@
 // submit commits a command through a voter.
 func (w *cluster) submit(v *keelsync.Voter, c *keelworld.Command) keelworld.Result {
 	w.t.Helper()
-	r, err := v.Submit(w.ctx, c)
+	r, err := v.Submit(w.ctx, c, nil)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -305,11 +306,11 @@
 	v := w.voter(partitioned, "d0", false)
 	ctx, cancel := context.WithTimeout(w.ctx, 200*time.Millisecond)
 	defer cancel()
-	is.True(v.Depart(ctx, "e") != nil)
+	is.True(v.Depart(ctx, "e", nil) != nil)
 	for _, name := range names {
 		w.hub.Heal(addrOf(name), addrOf(partitioned))
 	}
-	is.NoErr(v.Depart(w.ctx, "e"))
+	is.NoErr(v.Depart(w.ctx, "e", nil))
 }
 
 // A partition divides six voters into halves. Neither half accepts a command;
@@ -333,7 +334,7 @@
 			return true
 		})
 		ctx, cancel := context.WithTimeout(w.ctx, 200*time.Millisecond)
-		_, err := voters[name].Submit(ctx, patch(item("a", 2)))
+		_, err := voters[name].Submit(ctx, patch(item("a", 2)), nil)
 		cancel()
 		is.True(err != nil)
 	}
@@ -426,13 +427,57 @@
 	e.Incarnation, e.Sequence, e.State = 2, 1, keelworld.EndpointServing
 	is.NoErr(voters[names[1]].Announce(w.ctx, &e))
 	w.waitFor("the next incarnation is listed", func() bool { return len(f.View().Endpoints["a"]) == 1 })
-	is.NoErr(voters[names[4]].Depart(w.ctx, "e"))
+	is.NoErr(voters[names[4]].Depart(w.ctx, "e", nil))
 	w.waitFor("the endpoint has left", func() bool {
 		_, ok := f.View().Endpoint("a", "e")
 		return !ok
 	})
 }
 
+// Orders reach a voter that stood still, or that lags, after their callers gave them up. Those of
+// callers who left change nothing; those of callers who wait are tried again and come into force.
+func TestOrdersOfCallersWhoLeft(t *testing.T) {
+	is := is.New(t)
+	w, voters := startSixVoters(t)
+	drain := func(on bool) *keelworld.Command {
+		return &keelworld.Command{Drain: &keelworld.Drain{Domain: "d1", On: on}}
+	}
+	gone := func() bool { return true }
+	w.submit(voters[names[0]], drain(true))
+	_, err := voters[names[4]].Submit(w.ctx, drain(false), gone)
+	is.True(errors.Is(err, keelsync.ErrCallerLeft))
+	is.True(errors.Is(voters[names[4]].Depart(w.ctx, "e", gone), keelsync.ErrCallerLeft))
+	f := w.follower("10.0.1.1", nil)
+	w.waitFor("the drain is in force", func() bool { return f.View().Drained["d1"] })
+
+	// Others start and end drains between the check of the caller and the commit.
+	for i := range 5 {
+		checks := 0
+		interfere := func() bool {
+			if checks++; checks == 1 {
+				w.submit(voters[names[i]], drain(true))
+				w.submit(voters[names[i+1]], drain(false))
+				w.submit(voters[names[i]], drain(true))
+			}
+			return false
+		}
+		_, err := voters[names[5]].Submit(w.ctx, drain(false), interfere)
+		is.NoErr(err)
+		is.Equal(checks, 2) // the first attempt was outdated
+		w.waitFor("the order is in force", func() bool { return !f.View().Drained["d1"] })
+		left := 0
+		leaves := func() bool {
+			if left++; left == 1 {
+				w.submit(voters[names[i]], drain(true))
+			}
+			return left > 1
+		}
+		_, err = voters[names[5]].Submit(w.ctx, drain(false), leaves)
+		is.True(errors.Is(err, keelsync.ErrCallerLeft)) // the order came from before the drain
+		w.waitFor("the drain is in force", func() bool { return f.View().Drained["d1"] })
+	}
+}
+
 // The disk of a voter is full. The voter reports nothing to the leader, so that endpoints which
 // it acknowledged would be taken for silent: they must be sent on to another voter.
 func TestAnnounceAtVoterWithFullDisk(t *testing.T) {
--- a/keelworld/command.go
+++ b/keelworld/command.go
@@ -15,6 +15,12 @@
 	Endpoints []Endpoint `cbor:"4,keyasint,omitempty"`
 	// Nodes holds instances that were added, changed or stopped.
 	Nodes []Node `cbor:"5,keyasint,omitempty"`
+	// AsOf is a log index that was reached while the caller of a patch or drain still
+	// waited for the answer. A caller that gives up sends its order to another voter,
+	// and may then send others. So an order is outdated, and changes nothing, if a
+	// later entry than AsOf holds an order with which it can't be reordered: one about
+	// the same failure domain, or a patch that was refused.
+	AsOf uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Drain starts or ends the drain of a failure domain. Its endpoints get no new
@@ -48,6 +54,11 @@
 	Conflict bool `cbor:"2,keyasint,omitempty"`
 	// Index is the index of the command's log entry.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
+	// Outdated is whether the patch or drain was outdated, see [Command.AsOf].
+	Outdated bool `cbor:"4,keyasint,omitempty"`
+	// OutdatedLeaves holds the endpoints whose notice of leaving was outdated, see
+	// [Endpoint.AsOf].
+	OutdatedLeaves []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Check reports no faults, since every result is valid.
--- a/keelworld/endpoint.go
+++ b/keelworld/endpoint.go
@@ -41,6 +41,10 @@
 	Slots    int              `cbor:"8,keyasint,omitempty"`
 	// Cold is how long the endpoint stays cold from its announcement on.
 	Cold time.Duration `cbor:"9,keyasint,omitempty"`
+	// AsOf is set in a notice of leaving without an incarnation: a log index that was
+	// reached while its sender still waited for the answer. The notice does not refer
+	// to an incarnation that was registered by a later entry.
+	AsOf uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Limits on announced values. Every instance holds the announcements of all endpoints.
--- a/keelworld/state.go
+++ b/keelworld/state.go
@@ -20,6 +20,13 @@
 	drains    map[keel.DomainName]bool
 	endpoints map[string]Endpoint
 	nodes     map[keel.InstanceName]Node
+	// drainOrderedAt is the index of the last accepted order to start or end the drain
+	// of a failure domain.
+	drainOrderedAt map[keel.DomainName]uint64
+	// patchRefusedAt is the index of the last patch that was refused.
+	patchRefusedAt uint64
+	// registeredAt is the index that registered the incarnation of an endpoint.
+	registeredAt map[string]uint64
 }
 
 // NewState returns the state before the first log entry.
@@ -29,6 +36,9 @@
 		drains:    map[keel.DomainName]bool{},
 		endpoints: map[string]Endpoint{},
 		nodes:     map[keel.InstanceName]Node{},
+
+		drainOrderedAt: map[keel.DomainName]uint64{},
+		registeredAt:   map[string]uint64{},
 	}
 }
 
@@ -44,20 +54,44 @@
 	s.Skip(index)
 	switch {
 	case c.Patch != nil:
-		return s.applyPatch(c.Patch)
-	case c.Drain != nil:
-		if c.Drain.On {
-			s.drains[c.Drain.Domain] = true
-		} else {
-			delete(s.drains, c.Drain.Domain)
+		// A patch that was refused may have become valid, so a copy of it must not come
+		// into force later. Others are ordered by the versions of their items.
+		if s.patchRefusedAt > c.AsOf {
+			return Result{Outdated: true}
 		}
+		r := s.applyPatch(c.Patch)
+		if len(r.Faults) > 0 {
+			s.patchRefusedAt = index
+		}
+		return r
+	case c.Drain != nil:
+		return s.applyDrain(index, c)
 	}
+	var r Result
 	for i := range c.Endpoints {
-		s.applyAnnouncement(&c.Endpoints[i])
+		if e := &c.Endpoints[i]; !s.applyAnnouncement(index, e) {
+			r.OutdatedLeaves = append(r.OutdatedLeaves, e.ID)
+		}
 	}
 	for _, n := range c.Nodes {
 		s.applyNode(n)
 	}
+	return r
+}
+
+// applyDrain starts or ends the drain of a failure domain. An outdated order that asks
+// for what is the case is not refused: it is a copy of the one that came first.
+func (s *State) applyDrain(index uint64, c *Command) Result {
+	d := c.Drain
+	if s.drainOrderedAt[d.Domain] > c.AsOf {
+		return Result{Outdated: s.drains[d.Domain] != d.On}
+	}
+	s.drainOrderedAt[d.Domain] = index
+	if d.On {
+		s.drains[d.Domain] = true
+	} else {
+		delete(s.drains, d.Domain)
+	}
 	return Result{}
 }
 
@@ -88,15 +122,19 @@
 }
 
 // applyAnnouncement applies an announcement if it supersedes the state of its
-// endpoint. A notice of leaving without an incarnation refers to the current one.
-func (s *State) applyAnnouncement(e *Endpoint) {
+// endpoint. A notice of leaving without an incarnation refers to the current one; it
+// returns false if that was registered after the notice was sent.
+func (s *State) applyAnnouncement(index uint64, e *Endpoint) bool {
 	o, ok := s.endpoints[e.ID]
 	if e.State == EndpointLeft && e.Incarnation == 0 {
-		if ok {
+		if ok && o.State != EndpointLeft {
+			if s.registeredAt[e.ID] > e.AsOf {
+				return false
+			}
 			o.State = EndpointLeft
 			s.endpoints[e.ID] = o
 		}
-		return
+		return true
 	}
 	if e.State == EndpointSilent {
 		// The silence is void if an announcement was applied after the one that it
@@ -105,18 +143,22 @@
 			o.State = EndpointSilent
 			s.endpoints[e.ID] = o
 		}
-		return
+		return true
 	}
 	if ok && !e.supersedes(&o) {
-		return
+		return true
 	}
 	if e.State == EndpointLeft && ok && o.Incarnation == e.Incarnation {
 		o.State = EndpointLeft
 		s.endpoints[e.ID] = o
-		return
+		return true
+	}
+	if !ok || o.Incarnation != e.Incarnation {
+		s.registeredAt[e.ID] = index
 	}
 	s.endpoints[e.ID] = *e
 	s.evictDeparted()
+	return true
 }
 
 // maxEndpoints is the number of endpoints above which departed ones are evicted. It
@@ -141,6 +183,7 @@
 	})
 	for i := range min(len(old), maxEndpoints/4) {
 		delete(s.endpoints, old[i].ID)
+		delete(s.registeredAt, old[i].ID)
 	}
 }
 
@@ -196,6 +239,10 @@
 	Drains    []keel.DomainName `cbor:"3,keyasint,omitempty"`
 	Endpoints []Endpoint        `cbor:"4,keyasint,omitempty"`
 	Nodes     []Node            `cbor:"5,keyasint,omitempty"`
+	// The following hold the fields of [State] with these names.
+	DrainOrderedAt map[keel.DomainName]uint64 `cbor:"6,keyasint,omitempty"`
+	PatchRefusedAt uint64                     `cbor:"7,keyasint,omitempty"`
+	RegisteredAt   map[string]uint64          `cbor:"8,keyasint,omitempty"`
 }
 
 // Check reports no faults: the contents of a snapshot were checked before they were
@@ -204,7 +251,10 @@
 
 // Snapshot returns a snapshot of the whole state.
 func (s *State) Snapshot() *Snapshot {
-	sn := &Snapshot{Index: s.index, Drains: slices.Sorted(maps.Keys(s.drains))}
+	sn := &Snapshot{
+		Index: s.index, Drains: slices.Sorted(maps.Keys(s.drains)),
+		DrainOrderedAt: maps.Clone(s.drainOrderedAt), PatchRefusedAt: s.patchRefusedAt, RegisteredAt: maps.Clone(s.registeredAt),
+	}
 	for _, it := range s.items {
 		sn.Items = append(sn.Items, it)
 	}
@@ -222,6 +272,9 @@
 func (s *State) Restore(sn *Snapshot) {
 	*s = *NewState()
 	s.index = sn.Index
+	s.patchRefusedAt = sn.PatchRefusedAt
+	maps.Copy(s.drainOrderedAt, sn.DrainOrderedAt)
+	maps.Copy(s.registeredAt, sn.RegisteredAt)
 	for _, it := range sn.Items {
 		s.items[it.ItemKey] = it
 	}
--- a/keelworld/state_test.go
+++ b/keelworld/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -177,6 +178,77 @@
 	is.Equal(rt, (*keelworld.Route)(nil))
 }
 
+// An order is applied after later ones: its caller had given it up and sent it, and others, to
+// another voter. It must change nothing, unless it asks for what is the case.
+func TestOutdatedOrders(t *testing.T) {
+	drain := func(asOf uint64, on bool) *keelworld.Command {
+		return &keelworld.Command{AsOf: asOf, Drain: &keelworld.Drain{Domain: "z", On: on}}
+	}
+	leave := func(asOf uint64) *keelworld.Command {
+		return &keelworld.Command{Endpoints: []keelworld.Endpoint{{ID: "e", State: keelworld.EndpointLeft, AsOf: asOf}}}
+	}
+	start := func(incarnation int64) *keelworld.Command {
+		return &keelworld.Command{Endpoints: []keelworld.Endpoint{endpoint("e", "10.0.0.1:80", incarnation, 1, keelworld.EndpointServing)}}
+	}
+	second := func(asOf uint64) *keelworld.Command { return asOfPatch(asOf, route("r2", "/x/", "a", 2)) }
+	tests := []struct {
+		name     string
+		commands []*keelworld.Command // at the indexes from 1 on
+		outdated bool                 // the last one
+	}{
+		{"drain taken back twice", []*keelworld.Command{drain(0, true), drain(1, false), drain(2, true), drain(1, false)}, true},
+		{"drain started twice", []*keelworld.Command{drain(0, true), drain(1, false), drain(0, true)}, true},
+		{"copy of a drain in force", []*keelworld.Command{drain(0, true), drain(0, true)}, false},
+		{"order after a repeated one", []*keelworld.Command{drain(0, true), drain(1, true), drain(1, false)}, true},
+		{"drain of now", []*keelworld.Command{drain(0, true), drain(1, false), drain(2, true)}, false},
+		{"drain after other entries", []*keelworld.Command{drain(0, true), start(1), start(2), drain(1, false)}, false},
+		{
+			"patch that was refused and is valid now",
+			[]*keelworld.Command{patch(service("a", 1), route("r1", "/x/", "a", 1)), second(1), asOfPatch(2, removed(route("r1", "", "", 0), 2)), second(1)},
+			true,
+		},
+		{
+			"refused patch that is sent anew",
+			[]*keelworld.Command{patch(service("a", 1), route("r1", "/x/", "a", 1)), second(1), asOfPatch(2, removed(route("r1", "", "", 0), 2)), second(3)},
+			false,
+		},
+		{"patch beside a valid one", []*keelworld.Command{patch(service("a", 1)), asOfPatch(1, service("b", 1)), asOfPatch(1, service("c", 1))}, false},
+		{"leave of an earlier incarnation", []*keelworld.Command{start(1), leave(1), start(2), leave(1)}, true},
+		{"leave of an incarnation that has left", []*keelworld.Command{start(1), leave(1), leave(0)}, false},
+		{"leave of the incarnation", []*keelworld.Command{start(1), leave(1), start(2), leave(3)}, false},
+	}
+	for _, tt := range tests {
+		for _, snapshot := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, snapshot %v", tt.name, snapshot), func(t *testing.T) {
+				is := is.New(t)
+				s := keelworld.NewState()
+				last := len(tt.commands) - 1
+				for i, c := range tt.commands[:last] {
+					s.Apply(uint64(i+1), c)
+				}
+				if snapshot { // a voter that restarts decides like the others
+					restored := keelworld.NewState()
+					restored.Restore(s.Snapshot())
+					s = restored
+				}
+				before := s.View()
+				r := s.Apply(uint64(last+1), tt.commands[last])
+				is.Equal(r.Outdated || len(r.OutdatedLeaves) > 0, tt.outdated)
+				if tt.outdated {
+					before.Index++
+					is.Equal(s.View(), before)
+				}
+			})
+		}
+	}
+}
+
+func asOfPatch(asOf uint64, items ...keelworld.Item) *keelworld.Command {
+	c := patch(items...)
+	c.AsOf = asOf
+	return c
+}
+
 func TestRoute(t *testing.T) {
 	s := keelworld.NewState()
 	s.Apply(1, patch(service("a", 1), route("short", "/x/", "a", 1), route("long", "/x/y/", "a", 1)))
