keelentry, keelsync, keelworld: a request that crashed three endpoints is blocked by all entry instances

Cause: nothing on the request path of steer remembers what a request did; keelguard, which does in serve, needs owners, homes and messages between entry instances. Ruled out: the attempts of the route (two a send, as configured) and the retry budget, which the request did not exhaust.

Change: an entry instance reports a request whose connection broke in flight with its next poll, by fingerprint, endpoint and incarnation; a voter adds it to the next batch, and all instances get it with the state. From three crashes on, the request is refused at once with 503; an answer to any copy, or 15 minutes, ends that. Three and not two, since a lost failure domain can take both endpoints of an object. No fresh connection checks the endpoint, which may be started again at once.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -63,11 +63,18 @@
 	pools map[keel.ServiceName]*keelplace.Pool
 	// longestTimeout is the longest timeout that callers have sent, by route.
 	longestTimeout map[string]time.Duration
+	crashes        *crashGuard
 }
 
 // NewRunner returns a runner without pools. They are created on first use.
 func NewRunner(cfg Config) *Runner {
-	return &Runner{cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{}}
+	return &Runner{cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{}, crashes: newCrashGuard()}
+}
+
+// Observed returns what the voters are to know of requests that crash endpoints, see
+// [keelsync.FollowerConfig].
+func (rn *Runner) Observed(v *keelworld.View) (answered []uint64, crashes []keelworld.Crash) {
+	return rn.crashes.observed(time.Now(), v)
 }
 
 // leavingRetryAfter is the retry delay of a request that another instance can take
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -13,6 +13,7 @@
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelplace"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
+	"github.com/greengagekeel/greengagekeel/keelsync"
 	"github.com/greengagekeel/greengagekeel/keelworld"
 	"github.com/sirupsen/logrus"
 )
@@ -113,6 +114,10 @@
 			gone := keel.Refuse(keel.NotRun, keel.ReasonCallerGone, 0, "the caller left before the request was sent to an endpoint")
 			return nil, gone.AfterAttempt(last)
 		}
+		if t.blocked() {
+			blocked := keel.Refuse(keel.NotRun, keel.ReasonPoison, keelsync.SuspectRetention, "endpoints crashed while they ran the request, it is not sent to others")
+			return nil, blocked.AfterAttempt(last)
+		}
 		c, rejection := t.choose(now, last != nil)
 		if rejection != nil {
 			return nil, t.refuse(now, last, rejection)
@@ -129,6 +134,24 @@
 	}
 }
 
+// blocked reports whether the request crashes the endpoints that run it.
+func (t *task) blocked() bool {
+	g := t.runner.crashes
+	return g.hasSuspects(t.view) && g.blocks(t.view, fingerprint(t.request, t.body))
+}
+
+// recordCrash records what an attempt shows of whether the request crashes endpoints.
+// unanswered is whether the connection ended without an answer.
+func (t *task) recordCrash(now time.Time, e *keelworld.Endpoint, kind keelplace.OutcomeKind, unanswered bool) {
+	g := t.runner.crashes
+	switch {
+	case kind == keelplace.Broken && unanswered:
+		g.connectionBroke(now, keelworld.Crash{Request: fingerprint(t.request, t.body), Endpoint: e.ID, Incarnation: e.Incarnation})
+	case kind == keelplace.Answered && g.hasSuspects(t.view):
+		g.wasAnswered(now, t.view, fingerprint(t.request, t.body))
+	}
+}
+
 // shedRetryAfter is the retry delay after an endpoint with free slots shed a
 // request. It is short, since the caller need not wait for capacity and may still
 // be answered within the target latency.
@@ -219,6 +242,7 @@
 	end := time.Now()
 	o.Took = end.Sub(now)
 	t.outcomes = append(t.outcomes, o.Kind.String())
+	t.recordCrash(end, e, o.Kind, err != nil)
 	t.withPool(end, func(p *keelplace.Pool) { p.Ended(end, now, t.route, c, o) })
 	t.shedWithCapacity = o.Kind == keelplace.Shed && !o.Report.Full() && !t.paused
 	if !t.shedWithCapacity {
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -94,6 +94,7 @@
 			Domain: s.Domain, Region: s.Region, Caller: s.Listen.Caller, Up: true,
 		},
 		Network: calls, PeerPort: s.PeerPort, Seeds: s.SeedAddrs(), Log: cfg.Log,
+		Observed: func(v *keelworld.View) ([]uint64, []keelworld.Crash) { return in.runner.Observed(v) },
 	})
 	traffic := &keelproxy.Traffic{}
 	in.link = keelentry.NewLinkGuard(keelentry.LinkConfig{Traffic: traffic, BytesPerSecond: s.LinkBytesPerSecond()})
--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -71,6 +71,22 @@
 	})
 }
 
+// addCrashes adds what is missing in the batch.
+func (b *batcher) addCrashes(answered []uint64, crashes []keelworld.Crash) {
+	b.update(func(c *batch) {
+		for _, request := range answered {
+			if !slices.Contains(c.command.Answered, request) {
+				c.command.Answered = append(c.command.Answered, request)
+			}
+		}
+		for _, crash := range crashes {
+			if !slices.Contains(c.command.Crashes, crash) {
+				c.command.Crashes = append(c.command.Crashes, crash)
+			}
+		}
+	})
+}
+
 func (b *batcher) take() *batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -18,6 +18,7 @@
 	}
 	r.PartBytes = min(r.PartBytes, maxPartBytes)
 	v.recordNode(r.Node)
+	v.recordCrashes(r.Answered, r.Crashes)
 	a, err := v.feed(ctx, &r)
 	if err != nil {
 		return keel.Envelope{}, err
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -31,6 +31,9 @@
 	// [Follower.View] returns the new one, always from the goroutine of
 	// [Follower.Run].
 	OnChange func(old, now *keelworld.View)
+	// Observed, if not nil, returns the answered requests and the crashes that the next
+	// poll is to report, each at most [MaxReported].
+	Observed func(now *keelworld.View) (answered []uint64, crashes []keelworld.Crash)
 	Log      *logrus.Entry
 }
 
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -106,6 +106,9 @@
 			"born": e.Incarnation, "sequence": e.Sequence, "cold_ms": e.Cold.Milliseconds(),
 		}).Info("endpoint changed")
 	}
+	if len(c.Answered) > 0 || len(c.Crashes) > 0 {
+		l.WithFields(logrus.Fields{"answered": len(c.Answered), "crashes": len(c.Crashes), "suspects": len(m.state.Suspects())}).Info("requests that crash endpoints changed")
+	}
 	for i := range c.Nodes {
 		n := &c.Nodes[i]
 		l.WithFields(logrus.Fields{"instance": n.Name, "up": n.Up, "voter": n.Voter, "started": n.Incarnation}).Info("instance changed")
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -32,8 +32,15 @@
 	// Blob and Offset request the next part of a blob, if the voter still has it.
 	Blob   blobID `cbor:"5,keyasint,omitempty"`
 	Offset int    `cbor:"6,keyasint,omitempty"`
+	// Answered and Crashes are what the sender observed and its state lacks, see
+	// [keelworld.Command].
+	Answered []uint64          `cbor:"7,keyasint,omitempty"`
+	Crashes  []keelworld.Crash `cbor:"8,keyasint,omitempty"`
 }
 
+// MaxReported limits the crashes, and the answered requests, in one poll.
+const MaxReported = 256
+
 // maxFeedWait is the limit of feedRequest.Wait.
 const maxFeedWait = 5 * time.Second
 
@@ -46,6 +53,12 @@
 	if r.PartBytes < 0 || r.Offset < 0 {
 		fs.Add("part_bytes", "part of %d bytes at %d must not be negative", r.PartBytes, r.Offset)
 	}
+	if len(r.Answered) > MaxReported || len(r.Crashes) > MaxReported {
+		fs.Add("crashes", "has %d crashes and %d answered requests, the limit of each is %d", len(r.Crashes), len(r.Answered), MaxReported)
+	}
+	for i := range r.Crashes {
+		fs.Under("crashes", r.Crashes[i].Check())
+	}
 	return fs
 }
 
--- a/keelsync/poll.go
+++ b/keelsync/poll.go
@@ -131,6 +131,9 @@
 		Node: f.self, After: f.state.Index(), Wait: wait,
 		PartBytes: f.download.partBytes, Blob: f.download.blob.id, Offset: len(f.download.blob.data),
 	}
+	if f.cfg.Observed != nil {
+		p.request.Answered, p.request.Crashes = f.cfg.Observed(f.view.Load())
+	}
 	p.ctx, p.cancel = context.WithTimeout(ctx, limit+lateAnswerTimeout)
 	f.cancelPoll = p.cancel
 	if len(f.pending) == maxPendingPolls {
--- a/keelsync/reconcile.go
+++ b/keelsync/reconcile.go
@@ -189,6 +189,7 @@
 			}
 		}
 	})
+	v.expireSuspects(now)
 	v.removeSilentVoter(ctx, now, st)
 }
 
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -36,6 +36,10 @@
 	stops map[string]func()
 	seeds []netip.Addr
 	ctx   context.Context
+	// observed is what followers report, by name.
+	observed map[string]func(*keelworld.View) ([]uint64, []keelworld.Crash)
+	// retention is how long the crashes of a request count.
+	retention time.Duration
 }
 
 func newCluster(t *testing.T, seeds ...string) *cluster {
@@ -45,6 +49,7 @@
 	w := &cluster{
 		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Seed: 1}), log: logrus.NewEntry(logger),
 		disks: map[string]*keelstore.Memory{}, stops: map[string]func(){}, ctx: ctx,
+		observed: map[string]func(*keelworld.View) ([]uint64, []keelworld.Crash){},
 	}
 	for _, s := range seeds {
 		w.seeds = append(w.seeds, netip.MustParseAddr(s))
@@ -82,7 +87,7 @@
 			Domain: keel.DomainName(domain), Region: "r", Voter: true,
 		},
 		Network: network, Storage: disk, PeerPort: peerPort,
-		Seeds: w.seeds, Bootstrap: bootstrap, EndpointSilence: 500 * time.Millisecond, Log: w.log, Seed: 1,
+		Seeds: w.seeds, Bootstrap: bootstrap, EndpointSilence: 500 * time.Millisecond, SuspectRetention: w.retention, Log: w.log, Seed: 1,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -177,7 +182,14 @@
 // startSixVoters starts six voters with three of them as seeds, and waits until
 // every voter lists six voting members.
 func startSixVoters(t *testing.T) (*cluster, map[string]*keelsync.Voter) {
+	return startSixVotersRetaining(t, 0)
+}
+
+// startSixVotersRetaining starts six voters that keep the crashes of requests for a time, or
+// for the default one.
+func startSixVotersRetaining(t *testing.T, retention time.Duration) (*cluster, map[string]*keelsync.Voter) {
 	w := newCluster(t, names[:3]...)
+	w.retention = retention
 	voters := map[string]*keelsync.Voter{}
 	for i, name := range names {
 		voters[name] = w.voter(name, fmt.Sprintf("d%d", i), true)
@@ -355,7 +367,7 @@
 			Caller: netip.AddrPortFrom(netip.MustParseAddr(name), 80), Up: true,
 		},
 		Network: network, PeerPort: peerPort,
-		Seeds: w.seeds, OnChange: onChange, Log: w.log,
+		Seeds: w.seeds, OnChange: onChange, Observed: w.observed[name], Log: w.log,
 	})
 	w.run(name, network, f.Run)
 	return f
--- a/keelsync/voter.go
+++ b/keelsync/voter.go
@@ -40,7 +40,10 @@
 	// EndpointSilence is the time without an announcement after which an
 	// endpoint receives no more requests.
 	EndpointSilence time.Duration
-	Log             *logrus.Entry
+	// SuspectRetention is how long the crashes of a request count that no endpoint
+	// answers; 0 means [SuspectRetention].
+	SuspectRetention time.Duration
+	Log              *logrus.Entry
 	// Seed seeds the election timeouts.
 	Seed uint64
 }
@@ -87,6 +90,8 @@
 	// lastSeen is the last contact with endpoints and instances, by the keys
 	// "e"+ID and "n"+name. Only the leader uses it.
 	lastSeen map[string]time.Time
+	// suspectAges holds the ages of the suspects, by fingerprint. Only the leader uses it.
+	suspectAges map[uint64]suspectAge
 }
 
 // PeerAddress returns the peer address of an instance that is named by its IP
@@ -99,6 +104,9 @@
 // NewVoter loads the stored state and registers the handlers of the voter's
 // messages.
 func NewVoter(cfg VoterConfig) (*Voter, error) {
+	if cfg.SuspectRetention == 0 {
+		cfg.SuspectRetention = SuspectRetention
+	}
 	v := &Voter{cfg: cfg, machine: newStateMachine(cfg.Log), lastSeen: map[string]time.Time{}}
 	v.batcher = newBatcher(v)
 	v.seen.reset()
--- a/keelworld/command.go
+++ b/keelworld/command.go
@@ -4,8 +4,8 @@
 	keel "github.com/greengagekeel/greengagekeel"
 )
 
-// Command is one change of the state. Patch and Drain are each set alone. Endpoints
-// and Nodes may be set together. A command without any of them changes nothing.
+// Command is one change of the state. Patch and Drain are each set alone. Endpoints,
+// Nodes, Answered and Crashes may be set together. A command without any of them changes nothing.
 type Command struct {
 	// ID identifies the command, so that its proposer can look up the result.
 	ID    string `cbor:"1,keyasint,omitempty"`
@@ -21,6 +21,10 @@
 	// later entry than AsOf holds an order with which it can't be reordered: one about
 	// the same failure domain, or a patch that was refused.
 	AsOf uint64 `cbor:"6,keyasint,omitempty"`
+	// Answered holds the fingerprints of requests that an endpoint has answered, whose
+	// crashes no longer count, and Crashes new crashes.
+	Answered []uint64 `cbor:"7,keyasint,omitempty"`
+	Crashes  []Crash  `cbor:"8,keyasint,omitempty"`
 }
 
 // Drain starts or ends the drain of a failure domain. Its endpoints get no new
@@ -42,6 +46,9 @@
 	for i := range c.Nodes {
 		fs.Under("nodes", c.Nodes[i].Check())
 	}
+	for i := range c.Crashes {
+		fs.Under("crashes", c.Crashes[i].Check())
+	}
 	return fs
 }
 
--- a/keelworld/state.go
+++ b/keelworld/state.go
@@ -27,6 +27,7 @@
 	patchRefusedAt uint64
 	// registeredAt is the index that registered the incarnation of an endpoint.
 	registeredAt map[string]uint64
+	suspects     Suspects
 }
 
 // NewState returns the state before the first log entry.
@@ -39,6 +40,7 @@
 
 		drainOrderedAt: map[keel.DomainName]uint64{},
 		registeredAt:   map[string]uint64{},
+		suspects:       Suspects{},
 	}
 }
 
@@ -76,6 +78,7 @@
 	for _, n := range c.Nodes {
 		s.applyNode(n)
 	}
+	s.applyCrashes(index, c.Answered, c.Crashes)
 	return r
 }
 
@@ -209,6 +212,9 @@
 	return n, ok
 }
 
+// Suspects returns the requests that crash endpoints.
+func (s *State) Suspects() Suspects { return s.suspects }
+
 // Endpoints returns all known endpoints in no particular order, including those
 // that left or are silent.
 func (s *State) Endpoints() iter.Seq[Endpoint] { return maps.Values(s.endpoints) }
@@ -243,6 +249,7 @@
 	DrainOrderedAt map[keel.DomainName]uint64 `cbor:"6,keyasint,omitempty"`
 	PatchRefusedAt uint64                     `cbor:"7,keyasint,omitempty"`
 	RegisteredAt   map[string]uint64          `cbor:"8,keyasint,omitempty"`
+	Suspects       Suspects                   `cbor:"9,keyasint,omitempty"`
 }
 
 // Check reports no faults: the contents of a snapshot were checked before they were
@@ -254,6 +261,7 @@
 	sn := &Snapshot{
 		Index: s.index, Drains: slices.Sorted(maps.Keys(s.drains)),
 		DrainOrderedAt: maps.Clone(s.drainOrderedAt), PatchRefusedAt: s.patchRefusedAt, RegisteredAt: maps.Clone(s.registeredAt),
+		Suspects: s.suspects,
 	}
 	for _, it := range s.items {
 		sn.Items = append(sn.Items, it)
@@ -275,6 +283,7 @@
 	s.patchRefusedAt = sn.PatchRefusedAt
 	maps.Copy(s.drainOrderedAt, sn.DrainOrderedAt)
 	maps.Copy(s.registeredAt, sn.RegisteredAt)
+	maps.Copy(s.suspects, sn.Suspects)
 	for _, it := range sn.Items {
 		s.items[it.ItemKey] = it
 	}
--- a/keelworld/view.go
+++ b/keelworld/view.go
@@ -24,6 +24,8 @@
 	Drained map[keel.DomainName]bool
 	// Nodes holds the entry instances that take callers, ordered by name.
 	Nodes []Node
+	// Suspects holds the requests that crash endpoints.
+	Suspects Suspects
 	// routes holds the routes by host, the longest prefix first.
 	routes map[string][]namedRoute
 }
@@ -40,6 +42,7 @@
 		Services:  map[keel.ServiceName]*Service{},
 		Endpoints: map[keel.ServiceName][]Endpoint{},
 		Drained:   maps.Clone(s.drains),
+		Suspects:  s.suspects,
 		routes:    map[string][]namedRoute{},
 	}
 	for k, it := range s.items {
