--- a/keelquorum/node.go
+++ b/keelquorum/node.go
@@ -31,6 +31,9 @@
 	maxInputs = 512
 	// reopenInterval is the time between two attempts to use a failed storage again.
 	reopenInterval = 250 * time.Millisecond
+	// reopenLogInterval is the time between two log lines about the same error of these
+	// attempts.
+	reopenLogInterval = 10 * time.Second
 )
 
 // Config configures a [Node].
@@ -123,8 +126,10 @@
 	elections uint64
 	votes     int
 	lateness  lateness
-	// reopenError is the last logged error of an attempt to use the storage again.
-	reopenError string
+	// reopenError is the last logged error of an attempt to use the storage again, and
+	// reopenLoggedAt when it was logged.
+	reopenError    string
+	reopenLoggedAt time.Time
 }
 
 // loopCall is run by the loop that owns the core. It receives a zero time if the
--- a/keelquorum/recover.go
+++ b/keelquorum/recover.go
@@ -29,7 +29,7 @@
 	}
 	n.publishStatus(time.Now(), err)
 	n.failWaiters()
-	n.reopenError = err.Error()
+	n.reopenError, n.reopenLoggedAt = err.Error(), time.Now()
 	var retry <-chan time.Time
 	if failure := (*machineError)(nil); !errors.As(err, &failure) {
 		ticker := time.NewTicker(reopenInterval)
@@ -55,9 +55,10 @@
 // stored state, as a restart of the process does. It reports whether that succeeded.
 func (n *Node) reopenStorage() bool {
 	st, err := n.reload()
+	now := time.Now()
 	if err != nil {
-		if text := err.Error(); text != n.reopenError {
-			n.reopenError = text
+		if text := err.Error(); text != n.reopenError || now.Sub(n.reopenLoggedAt) >= reopenLogInterval {
+			n.reopenError, n.reopenLoggedAt = text, now
 			n.cfg.Log.WithError(err).Warn("storage can't be used again yet")
 		}
 		return false
@@ -65,7 +66,6 @@
 	if st.Snapshot.Index > 0 {
 		n.applier.add(&Actions{Restore: true, Snapshot: &st.Snapshot})
 	}
-	now := time.Now()
 	n.core = n.newCore(now, st)
 	n.publishStatus(now, nil)
 	n.cfg.Log.WithField("last", n.core.log.last().index).Info("storage works again, voter participates in the quorum")
--- a/keelsync/propose.go
+++ b/keelsync/propose.go
@@ -66,6 +66,9 @@
 // to the leader.
 func (v *Voter) submitOnce(ctx context.Context, c *keelworld.Command) (*keelworld.Result, error) {
 	st := v.node.Status()
+	if st.StorageFailure != "" {
+		return nil, errors.Errorf("storage failed: %s", st.StorageFailure)
+	}
 	if st.Role == string(keelquorum.RoleLeader) {
 		return v.propose(ctx, c)
 	}
