keelcommand: signals that come during the start of steer wait until the instance runs

Seen in the review, without a case: SIGHUP 2 to 40 ms after the start of a process ended it. Cause: the handler was set after the settings had been read and the instance built. Change: signals are queued from the first step of the command on. TestReloadSignalDuringStart fails on the code before (the process is gone while it reads its settings) and is green now.

--- a/keelcommand/steer.go
+++ b/keelcommand/steer.go
@@ -44,6 +44,10 @@
 			Name: "config", Usage: "settings file", Required: true, Sources: cli.EnvVars(settingsVariable),
 		}, &cli.BoolFlag{Name: "check", Usage: "check the settings and stop"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			// Signals wait from here on: SIGHUP would end a process without a handler.
+			signals := make(chan os.Signal, signalQueue)
+			signal.Notify(signals, append(slices.Clone(stopSignals), syscall.SIGHUP)...)
+			defer signal.Stop(signals)
 			s, err := keelconfig.LoadSteer(c.String("config"))
 			if err != nil {
 				return fail(ExitUsage, err, "correct the settings; docs/operate/seeds.md lists them")
@@ -51,12 +55,16 @@
 			if c.Bool("check") {
 				return nil
 			}
-			return runSteer(ctx, c.String("config"), s, stdout)
+			return runSteer(ctx, c.String("config"), s, signals, stdout)
 		},
 	}
 }
 
-func runSteer(ctx context.Context, file string, s *keelconfig.SteerSettings, stdout io.Writer) error {
+// signalQueue is the number of signals that wait until the instance has started.
+const signalQueue = 4
+
+// runSteer runs an instance until it has stopped after one of signals.
+func runSteer(ctx context.Context, file string, s *keelconfig.SteerSettings, signals chan os.Signal, stdout io.Writer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	out := keellog.New(keellog.Config{Out: stdout})
@@ -76,9 +84,7 @@
 		cancel()
 		return fail(ExitFailed, err, "")
 	}
-	sup := &supervisor{file: file, in: in, log: log, settings: s, signals: make(chan os.Signal, 4)}
-	signal.Notify(sup.signals, append(slices.Clone(stopSignals), syscall.SIGHUP)...)
-	defer signal.Stop(sup.signals)
+	sup := &supervisor{file: file, in: in, log: log, settings: s, signals: signals}
 	group.Go(func() { sup.run(ctx) })
 	if s.MemoryMB > 0 {
 		memory := keelmemory.NewLimitController(int64(s.MemoryMB) << 20 * softMemoryPercent / 100)
