keelentry, keelrole, docs: suspects in log, state dump and metrics

An on-call engineer could not get from a request that is refused as poison_request to the crashes: the refusal names the fingerprint now, each broken connection is logged with it, and the state dump and a gauge show the suspects. TestPoisonRequestIsBlocked checks that the fingerprint of the refusal is that of the crashes. No decision has changed.

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelguard"
 	"github.com/greengagekeel/greengagekeel/keelplace"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelsync"
@@ -114,8 +115,7 @@
 			gone := keel.Refuse(keel.NotRun, keel.ReasonCallerGone, 0, "the caller left before the request was sent to an endpoint")
 			return nil, gone.AfterAttempt(last)
 		}
-		if t.blocked() {
-			blocked := keel.Refuse(keel.NotRun, keel.ReasonPoison, keelsync.SuspectRetention, "endpoints crashed while they ran the request, it is not sent to others")
+		if blocked := t.refuseSuspect(); blocked != nil {
 			return nil, blocked.AfterAttempt(last)
 		}
 		c, rejection := t.choose(now, last != nil)
@@ -134,10 +134,19 @@
 	}
 }
 
-// blocked reports whether the request crashes the endpoints that run it.
-func (t *task) blocked() bool {
+// refuseSuspect returns the refusal of a request that crashes the endpoints which run it,
+// and nil for any other one.
+func (t *task) refuseSuspect() *keel.Refusal {
 	g := t.runner.crashes
-	return g.hasSuspects(t.view) && g.blocks(t.view, fingerprint(t.request, t.body))
+	if !g.hasSuspects(t.view) {
+		return nil
+	}
+	fp := fingerprint(t.request, t.body)
+	if !g.blocks(t.view, fp) {
+		return nil
+	}
+	return keel.Refuse(keel.NotRun, keel.ReasonPoison, keelsync.SuspectRetention,
+		"%d endpoints crashed while they ran request %s, it is not sent to others", keelworld.MaxCrashes, keelguard.ID(fp))
 }
 
 // recordCrash records what an attempt shows of whether the request crashes endpoints.
@@ -146,7 +155,11 @@
 	g := t.runner.crashes
 	switch {
 	case kind == keelplace.Broken && unanswered:
-		g.connectionBroke(now, keelworld.Crash{Request: fingerprint(t.request, t.body), Endpoint: e.ID, Incarnation: e.Incarnation})
+		c := keelworld.Crash{Request: fingerprint(t.request, t.body), Endpoint: e.ID, Incarnation: e.Incarnation}
+		g.connectionBroke(now, c)
+		t.runner.cfg.Log.WithFields(logrus.Fields{
+			"request": t.request.ID, "fingerprint": keelguard.ID(c.Request).String(), "endpoint": e.ID, "born": e.Incarnation,
+		}).Info("connection broke while the endpoint ran a request")
 	case kind == keelplace.Answered && g.hasSuspects(t.view):
 		g.wasAnswered(now, t.view, fingerprint(t.request, t.body))
 	}
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -13,6 +13,7 @@
 	keel "github.com/greengagekeel/greengagekeel"
 	"github.com/greengagekeel/greengagekeel/keelconfig"
 	"github.com/greengagekeel/greengagekeel/keelentry"
+	"github.com/greengagekeel/greengagekeel/keelguard"
 	"github.com/greengagekeel/greengagekeel/keelkey"
 	"github.com/greengagekeel/greengagekeel/keelpeer"
 	"github.com/greengagekeel/greengagekeel/keelplace"
@@ -180,6 +181,7 @@
 		"view_age_seconds": in.follower.Age(time.Now()).Seconds(),
 		"endpoints":        float64(endpoints), "entry_instances": float64(len(v.Nodes)),
 		"link_utilization": in.link.Utilization(),
+		"suspects":         float64(len(v.Suspects)),
 	}
 }
 
@@ -190,9 +192,19 @@
 		"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "leaving": in.leaving.Load(),
 		"index": v.Index, "age_ms": in.follower.Age(time.Now()).Milliseconds(), "configured": v.Configured,
 		"endpoints": v.Endpoints, "drained": v.Drained, "entry_instances": v.Nodes,
+		"suspects": crashCounts(v.Suspects),
 	}
 }
 
+// crashCounts returns the number of crashes of each request by fingerprint.
+func crashCounts(all keelworld.Suspects) map[string]int {
+	counts := make(map[string]int, len(all))
+	for request, o := range all {
+		counts[keelguard.ID(request).String()] = len(o.Crashes)
+	}
+	return counts
+}
+
 func (in *Entry) runFront(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = in.callerListener.Close() })
 	defer stop()
