keelentry: a broken connection counts as a crash only if the endpoint accepts no new one

Change: an instance reports nothing of a request that another endpoint has answered, and probes the endpoints of the others with a new connection 0.1 s later; only one that accepts none has crashed.

--- a/keelentry/crashguard.go
+++ b/keelentry/crashguard.go
@@ -1,6 +1,7 @@
 package keelentry
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelsync"
 	"github.com/greengagekeel/greengagekeel/keelworld"
+	"github.com/sourcegraph/conc/pool"
 	"github.com/zeebo/xxh3"
 )
 
@@ -16,19 +18,106 @@
 // time without a leader after the loss of voters.
 const reportTimeout = time.Minute
 
+const (
+	// probeDelay is how long after a broken connection its endpoint is probed. Several
+	// connections break at the same time, and the port of a process may close after its
+	// connections.
+	probeDelay = 100 * time.Millisecond
+	// probeTimeout limits the time to open a connection to an endpoint that has not
+	// crashed: some round trips between regions.
+	probeTimeout = 500 * time.Millisecond
+	// maxProbes limits the probes at the same time.
+	maxProbes = 8
+)
+
 // crashGuard keeps requests from crashing one endpoint after the other. It collects
 // what this instance observed until the replicated state has it. A request is blocked
 // from [keelworld.MaxCrashes] crashes on, unless an endpoint answers a copy that is in
 // flight.
+//
+// A broken connection counts if the endpoint accepts no new one shortly after. Endpoints
+// with too many connections, and faulty ones, break connections without a crash.
 type crashGuard struct {
+	// probe opens a connection to an endpoint.
+	probe func(ctx context.Context, t keelproxy.Target) error
+	// wake has a value while broken is not empty.
+	wake chan struct{}
+
 	mu sync.Mutex
+	// broken holds the broken connections whose endpoints are not probed yet.
+	broken []brokenRun
 	// crashes and answered are when something was observed that the state may lack.
 	crashes  map[keelworld.Crash]time.Time
 	answered map[uint64]time.Time
 }
 
-func newCrashGuard() *crashGuard {
-	return &crashGuard{crashes: map[keelworld.Crash]time.Time{}, answered: map[uint64]time.Time{}}
+// brokenRun is a request whose connection broke while it was in flight at an endpoint.
+type brokenRun struct {
+	crash  keelworld.Crash
+	target keelproxy.Target
+}
+
+func newCrashGuard(probe func(ctx context.Context, t keelproxy.Target) error) *crashGuard {
+	return &crashGuard{
+		probe: probe, wake: make(chan struct{}, 1),
+		crashes: map[keelworld.Crash]time.Time{}, answered: map[uint64]time.Time{},
+	}
+}
+
+// run probes the endpoints of broken connections until ctx ends.
+func (g *crashGuard) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(probeDelay):
+		}
+		g.probeBroken(ctx)
+	}
+}
+
+// probeBroken probes each endpoint of a broken connection once.
+func (g *crashGuard) probeBroken(ctx context.Context) {
+	g.mu.Lock()
+	broken := g.broken
+	g.broken = nil
+	g.mu.Unlock()
+	type start struct {
+		endpoint    string
+		incarnation int64
+	}
+	runs := map[start][]brokenRun{}
+	for _, b := range broken {
+		s := start{b.crash.Endpoint, b.crash.Incarnation}
+		runs[s] = append(runs[s], b)
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	probes := pool.New().WithMaxGoroutines(maxProbes)
+	for _, all := range runs {
+		probes.Go(func() {
+			if g.probe(ctx, all[0].target) != nil {
+				g.addCrashes(time.Now(), all)
+			}
+		})
+	}
+	probes.Wait()
+}
+
+func (g *crashGuard) addCrashes(now time.Time, all []brokenRun) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range all {
+		if len(g.crashes) < keelsync.MaxReported {
+			delete(g.answered, b.crash.Request)
+			g.crashes[b.crash] = now
+		}
+	}
 }
 
 // fingerprint identifies a request by its content, so that a resend has the same one. The
@@ -50,11 +139,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.crashes) > 0
+	return len(g.crashes)+len(g.broken) > 0
 }
 
-// blocks reports whether a request may be sent to no endpoint.
-func (g *crashGuard) blocks(v *keelworld.View, request uint64) bool {
+// count returns the number of crashes of a request, with those of its present attempts,
+// which are not confirmed yet.
+func (g *crashGuard) count(v *keelworld.View, request uint64, attempts []brokenRun) int {
 	known := v.Suspects[request].Crashes
 	n := len(known)
 	g.mu.Lock()
@@ -64,17 +154,26 @@
 			n++
 		}
 	}
-	return n >= keelworld.MaxCrashes
+	for _, b := range attempts {
+		if _, ok := g.crashes[b.crash]; !ok && !slices.Contains(known, b.crash) {
+			n++
+		}
+	}
+	return n
 }
 
-// connectionBroke records that the connection to an endpoint broke while the request was
-// in flight there.
-func (g *crashGuard) connectionBroke(now time.Time, c keelworld.Crash) {
+// connectionsBroke records the connections that broke while the endpoints ran a request
+// that was not answered then.
+func (g *crashGuard) connectionsBroke(broken []brokenRun) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.answered, c.Request)
-	if len(g.crashes) < keelsync.MaxReported {
-		g.crashes[c] = now
+	if len(g.broken)+len(broken) > keelsync.MaxReported {
+		return
+	}
+	g.broken = append(g.broken, broken...)
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -84,6 +183,7 @@
 	_, suspected := v.Suspects[request]
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.broken = slices.DeleteFunc(g.broken, func(b brokenRun) bool { return b.crash.Request == request })
 	for c := range g.crashes {
 		if c.Request == request {
 			delete(g.crashes, c)
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -68,9 +68,12 @@
 
 // NewRunner returns a runner without pools. They are created on first use.
 func NewRunner(cfg Config) *Runner {
-	return &Runner{cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{}, crashes: newCrashGuard()}
+	return &Runner{cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{}, crashes: newCrashGuard(cfg.Client.Probe)}
 }
 
+// Run finds out whether endpoints whose connections broke have crashed, until ctx ends.
+func (rn *Runner) Run(ctx context.Context) error { return rn.crashes.run(ctx) }
+
 // Observed returns what the voters are to know of requests that crash endpoints, see
 // [keelsync.FollowerConfig].
 func (rn *Runner) Observed(v *keelworld.View) (answered []uint64, crashes []keelworld.Crash) {
@@ -111,6 +114,7 @@
 		return nil, t.logRefused(err)
 	}
 	a, refusal := t.dispatch(ctx, now)
+	t.recordCrashes(a != nil)
 	if refusal != nil {
 		return nil, t.logRefused(refusal)
 	}
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -36,6 +36,8 @@
 	// endpoints to which the request was sent.
 	excluded, attempted []string
 	outcomes            []string
+	// broken holds the attempts whose connection broke.
+	broken []brokenRun
 	// lastChoice is the choice for the last attempt.
 	lastChoice keelplace.Choice
 	// shedWithCapacity is whether the last attempt was shed by an endpoint that
@@ -138,30 +140,35 @@
 // and nil for any other one.
 func (t *task) refuseSuspect() *keel.Refusal {
 	g := t.runner.crashes
-	if !g.hasSuspects(t.view) {
+	if len(t.broken) == 0 && !g.hasSuspects(t.view) {
 		return nil
 	}
 	fp := fingerprint(t.request, t.body)
-	if !g.blocks(t.view, fp) {
+	if g.count(t.view, fp, t.broken) < keelworld.MaxCrashes {
 		return nil
 	}
 	return keel.Refuse(keel.NotRun, keel.ReasonPoison, keelsync.SuspectRetention,
 		"%d endpoints crashed while they ran request %s, it is not sent to others", keelworld.MaxCrashes, keelguard.ID(fp))
 }
 
-// recordCrash records what an attempt shows of whether the request crashes endpoints.
-// unanswered is whether the connection ended without an answer.
-func (t *task) recordCrash(now time.Time, e *keelworld.Endpoint, kind keelplace.OutcomeKind, unanswered bool) {
+// noteBroken notes an attempt whose connection broke while the endpoint ran the request.
+func (t *task) noteBroken(e *keelworld.Endpoint, target keelproxy.Target) {
+	c := keelworld.Crash{Request: fingerprint(t.request, t.body), Endpoint: e.ID, Incarnation: e.Incarnation}
+	t.broken = append(t.broken, brokenRun{c, target})
+	t.runner.cfg.Log.WithFields(logrus.Fields{
+		"request": t.request.ID, "fingerprint": keelguard.ID(c.Request).String(), "endpoint": e.ID, "born": e.Incarnation,
+	}).Info("connection broke while the endpoint ran a request")
+}
+
+// recordCrashes records what the attempts show of whether the request crashes endpoints.
+// One that was answered in the end does not.
+func (t *task) recordCrashes(answered bool) {
 	g := t.runner.crashes
 	switch {
-	case kind == keelplace.Broken && unanswered:
-		c := keelworld.Crash{Request: fingerprint(t.request, t.body), Endpoint: e.ID, Incarnation: e.Incarnation}
-		g.connectionBroke(now, c)
-		t.runner.cfg.Log.WithFields(logrus.Fields{
-			"request": t.request.ID, "fingerprint": keelguard.ID(c.Request).String(), "endpoint": e.ID, "born": e.Incarnation,
-		}).Info("connection broke while the endpoint ran a request")
-	case kind == keelplace.Answered && g.hasSuspects(t.view):
-		g.wasAnswered(now, t.view, fingerprint(t.request, t.body))
+	case answered && g.hasSuspects(t.view):
+		g.wasAnswered(time.Now(), t.view, fingerprint(t.request, t.body))
+	case !answered && len(t.broken) > 0:
+		g.connectionsBroke(t.broken)
 	}
 }
 
@@ -255,7 +262,9 @@
 	end := time.Now()
 	o.Took = end.Sub(now)
 	t.outcomes = append(t.outcomes, o.Kind.String())
-	t.recordCrash(end, e, o.Kind, err != nil)
+	if err != nil && o.Kind == keelplace.Broken {
+		t.noteBroken(e, target)
+	}
 	t.withPool(end, func(p *keelplace.Pool) { p.Ended(end, now, t.route, c, o) })
 	t.shedWithCapacity = o.Kind == keelplace.Shed && !o.Report.Full() && !t.paused
 	if !t.shedWithCapacity {
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -143,6 +143,7 @@
 	group.Go(in.follower.Run)
 	group.Go(in.front.Run)
 	group.Go(in.runFront)
+	group.Go(in.runner.Run)
 	for _, at := range []netip.AddrPort{in.cfg.Settings.Listen.Ready, in.cfg.Settings.Listen.Lookup} {
 		if at.IsValid() {
 			group.Go(appServer{in.cfg.App(in), at}.run)
