keelplace, keelsync, keelsteer: the rate limit of an endpoint holds over all instances

Cause: no instance read the field, in steer and in serve.

Change: entry instances follow the limit and report it with their polls; the log gives it to all instances, also to those that start. Few instances near the endpoint send to it, each at its equal part and with its part of a burst, so that none has to ask another one. It ends with an answer without a limit to a later request, or with the start of the endpoint. In serve the owner, which is the only sender, keeps to the limit in its queue and hands it over. Limits are in logs, the dump and a gauge.

Why it works: L + 3 senders at most send 5L + 3 requests in any 4 s where 6L + 5 are allowed, also in partitions, in which each side counts other instances (TestRateLimitOfAllInstances).

--- a/keeladmit/endpoint.go
+++ b/keeladmit/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -36,12 +37,26 @@
 	// removed endpoints get no new work, and are deleted once no request is in
 	// flight there.
 	removed bool
+	// limiter limits the rate of requests, perSecond is that rate; 0 without a limit.
+	limiter   RateLimiter
+	perSecond float64
 }
 
 func (e *endpoint) acceptsWork(now time.Time) bool {
 	return !e.draining && !e.removed && !now.Before(e.ejectedUntil)
 }
 
+// hasFree reports whether the endpoint can start a request now.
+func (e *endpoint) hasFree(now time.Time) bool {
+	return e.acceptsWork(now) && e.view.Free() > 0 && e.limiter.Wait(now) == 0
+}
+
+// start records the start of a request.
+func (e *endpoint) start(now time.Time) {
+	e.view.InFlight++
+	e.limiter.Take(now)
+}
+
 // SetEndpoint adds an endpoint or updates its state. It cancels a previous
 // [Queue.Drain] or [Queue.Remove] of the endpoint.
 func (q *Queue) SetEndpoint(_ time.Time, s EndpointState) {
@@ -83,6 +98,23 @@
 	}
 }
 
+// Limit limits the rate of requests to the endpoint, in requests per second. This instance is
+// the only one that sends to it, and has the whole rate.
+func (q *Queue) Limit(now time.Time, id keel.EndpointID, perSecond float64) {
+	if e := q.find(id); e != nil {
+		e.perSecond = max(perSecond, MinRate)
+		e.limiter.Limit(now, e.perSecond, LimitBurst(perSecond), 0)
+	}
+}
+
+// Unlimit removes the limit of the endpoint, if there is one.
+func (q *Queue) Unlimit(id keel.EndpointID) {
+	if e := q.find(id); e != nil {
+		e.perSecond = 0
+		e.limiter.Lift()
+	}
+}
+
 // Remove stops new work to the endpoint, and deletes it once no request is in
 // flight there.
 func (q *Queue) Remove(id keel.EndpointID) {
@@ -117,17 +149,30 @@
 }
 
 // Slots returns the number of slots of all endpoints that accept work, and how
-// many of them are free.
+// many of them are free. An endpoint with a limited rate counts with the slots that
+// this rate fills.
 func (q *Queue) Slots(now time.Time) (slots, free int) {
 	for _, e := range q.endpoints {
-		if e.acceptsWork(now) {
-			slots += e.view.Usable()
-			free += max(0, e.view.Free())
+		if !e.acceptsWork(now) {
+			continue
+		}
+		usable := q.usable(e)
+		slots += usable
+		if e.hasFree(now) {
+			free += max(0, usable-e.view.InFlight)
 		}
 	}
 	return slots, free
 }
 
+func (q *Queue) usable(e *endpoint) int {
+	n := e.view.Usable()
+	if e.perSecond > 0 {
+		n = min(n, max(1, int(math.Round(e.perSecond*q.serviceTime))))
+	}
+	return n
+}
+
 func (q *Queue) find(id keel.EndpointID) *endpoint {
 	return q.byID[id]
 }
@@ -184,9 +229,25 @@
 	return n
 }
 
+// limitedRate returns the rate of requests that the matching endpoints accept together; 0
+// if one of them does not limit it.
+func (g *group) limitedRate(now time.Time) float64 {
+	var sum float64
+	for _, e := range g.matches {
+		if !e.acceptsWork(now) {
+			continue
+		}
+		if e.perSecond == 0 {
+			return 0
+		}
+		sum += e.perSecond
+	}
+	return sum
+}
+
 func (g *group) hasFree(now time.Time, avoid keel.EndpointName) bool {
 	for _, e := range g.matches {
-		if e.acceptsWork(now) && e.view.ID.Name != avoid && e.view.Free() > 0 {
+		if e.hasFree(now) && e.view.ID.Name != avoid {
 			return true
 		}
 	}
@@ -198,7 +259,7 @@
 func (g *group) pick(now time.Time, avoid keel.EndpointName, cfg QueueConfig) *endpoint {
 	g.candidates, g.candidateIndex = g.candidates[:0], g.candidateIndex[:0]
 	for i, e := range g.matches {
-		if !e.acceptsWork(now) || e.view.ID.Name == avoid || e.view.Free() <= 0 {
+		if !e.hasFree(now) || e.view.ID.Name == avoid {
 			continue
 		}
 		e.view.ReportAge = now.Sub(e.reportedAt)
--- a/keeladmit/next.go
+++ b/keeladmit/next.go
@@ -63,7 +63,7 @@
 	it := f.pop().item
 	q.starts++
 	q.addWaiting(now, rank, -1)
-	e.view.InFlight++
+	e.start(now)
 	return Start{ID: it.ID, Endpoint: e.view.ID}, true
 }
 
--- a/keeladmit/queue.go
+++ b/keeladmit/queue.go
@@ -152,7 +152,7 @@
 	}
 	if e := g.pick(now, it.Avoid, q.cfg); e != nil {
 		q.starts++
-		e.view.InFlight++
+		e.start(now)
 		return Decision{Action: ActionStart, Endpoint: e.view.ID}
 	}
 	return q.enqueue(now, g, it)
@@ -177,6 +177,9 @@
 		ahead += q.classes[r].waiting
 	}
 	s := q.serviceTime * float64(ahead+1) / float64(g.slots(now))
+	if rate := g.limitedRate(now); rate > 0 {
+		s = max(s, float64(ahead+1)/rate)
+	}
 	return time.Duration(s * float64(time.Second))
 }
 
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -64,11 +64,15 @@
 	// longestTimeout is the longest timeout that callers have sent, by route.
 	longestTimeout map[string]time.Duration
 	crashes        *crashGuard
+	limits         *limitReports
 }
 
 // NewRunner returns a runner without pools. They are created on first use.
 func NewRunner(cfg Config) *Runner {
-	return &Runner{cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{}, crashes: newCrashGuard(cfg.Client.Probe)}
+	return &Runner{
+		cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{},
+		crashes: newCrashGuard(cfg.Client.Probe), limits: newLimitReports(),
+	}
 }
 
 // Run finds out whether endpoints whose connections broke have crashed, until ctx ends.
@@ -80,6 +84,12 @@
 	return rn.crashes.observed(time.Now(), v)
 }
 
+// RateLimits returns the limits of endpoints that the voters are to know, see
+// [keelsync.FollowerConfig].
+func (rn *Runner) RateLimits(v *keelworld.View) []keelworld.RateLimit {
+	return rn.limits.due(time.Now(), v)
+}
+
 // leavingRetryAfter is the retry delay of a request that another instance can take
 // immediately.
 const leavingRetryAfter = 50 * time.Millisecond
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -285,18 +285,19 @@
 // heed makes the pool follow the notice of the endpoint that answered.
 func (t *task) heed(n keelproxy.Notice) {
 	t.paused = n.RetryAfter > 0
-	if n == (keelproxy.Notice{}) {
-		return
-	}
+	e := &t.lastChoice.Endpoint
+	limit := keelworld.RateLimit{Endpoint: e.ID, Incarnation: e.Incarnation}
 	now, changed := time.Now(), false
 	t.withPool(now, func(p *keelplace.Pool) {
 		changed = p.Heed(now, &t.lastChoice, keelplace.Notice(n))
+		limit.PerSecond, limit.Lifted = p.Limit(&t.lastChoice)
 	})
+	t.runner.limits.observe(now, t.view, limit)
 	if changed {
 		t.runner.cfg.Log.WithFields(logrus.Fields{
-			"endpoint": t.lastChoice.Endpoint.ID, "born": t.lastChoice.Endpoint.Incarnation, "request": t.request.ID,
-			"leaving": n.Leaving, "pause_ms": n.RetryAfter.Milliseconds(), "index": t.view.Index,
-		}).Info("endpoint wants no requests")
+			"endpoint": e.ID, "born": e.Incarnation, "request": t.request.ID, "leaving": n.Leaving, "pause_ms": n.RetryAfter.Milliseconds(),
+			"limited": n.Limited, "per_second": n.RateLimit, "index": t.view.Index,
+		}).Info("endpoint wants no or fewer requests")
 	}
 }
 
@@ -319,6 +320,10 @@
 // can be retried if the body is incomplete.
 func (t *task) classifyAnswer(a *keelproxy.Answer, e *keelworld.Endpoint) (*keelproxy.Answer, *keel.Refusal, keelplace.Outcome) {
 	facts := t.runner.cfg.ReadFacts(a)
+	if !facts.Genuine && !facts.NotRun && !a.Notice.Limited {
+		// The endpoint did not generate the answer, so that the missing limit says nothing.
+		a.Notice.Limited, a.Notice.RateLimit = true, keelproxy.UnknownRate
+	}
 	if !facts.WrongEndpoint {
 		t.heed(a.Notice)
 	}
--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -44,6 +44,8 @@
 	Rank int
 	// key is the hash of the object; see objectKey.
 	key uint64
+	// chosenAt is when the endpoint was chosen, before the request was sent.
+	chosenAt time.Time
 }
 
 // Rejection reports why no endpoint was chosen.
@@ -147,15 +149,15 @@
 }
 
 // rejectUnavailable rejects a request while no endpoint is available. If all of them have
-// paused, it may come again once the first takes requests.
+// paused or are at their limits, it may come again once the first takes requests.
 func (p *Pool) rejectUnavailable(now time.Time, order []ranked) *Rejection {
 	r := &Rejection{Reason: keel.ReasonOverload, RetryAfter: p.spreadRetry(maxRetryAfter), Detail: "no endpoint is available now"}
 	endpoints := make([]*endpoint, len(order))
 	for i, o := range order {
 		endpoints[i] = o.e
 	}
-	if left := pauseLeft(now, endpoints); left > 0 {
-		r.RetryAfter, r.Detail = left+p.spreadRetry(minRetryAfter), "its endpoints turn requests away for a time"
+	if left := p.blockedLeft(now, endpoints); left > 0 {
+		r.RetryAfter, r.Detail = left+p.spreadRetry(minRetryAfter), "its endpoints turn requests away for a time, or limit their rate"
 	}
 	return r
 }
@@ -179,10 +181,10 @@
 }
 
 // RetryAfter returns the retry delay for a request of a route that found no free
-// capacity: about twice the time of a cached request, or while all endpoints have paused,
-// the time until one of them takes requests.
+// capacity: about twice the time of a cached request, or while all endpoints have paused or
+// are at their limits, the time until one of them takes requests.
 func (p *Pool) RetryAfter(now time.Time, route string) time.Duration {
-	if left := pauseLeft(now, p.serving); left > 0 {
+	if left := p.blockedLeft(now, p.serving); left > 0 {
 		return left + p.spreadRetry(minRetryAfter)
 	}
 	cached, _, _ := p.processingTimesOf(route).estimates()
@@ -203,7 +205,7 @@
 func (p *Pool) estimate(now time.Time, r *Request, e *endpoint, rank int, meanSlowdown float64) Choice {
 	cached, uncached, mean := p.processingTimesOf(r.Route).estimates()
 	key := objectKey(r)
-	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key}
+	c := Choice{Endpoint: e.Endpoint, Load: e.load(now), Rank: rank, key: key, chosenAt: now}
 	c.Cached = r.Affinity != "" && e.cached.has(now, key, cachedFor)
 	timedOut := e.timedOut.has(now, key, timedOutFor)
 	processing := uncached
@@ -302,12 +304,15 @@
 }
 
 // available reports whether an endpoint may get a request now: it is not ejected and has
-// not paused, a suspected one has no other request in flight, a cold one is within its rate,
-// and it has not stalled.
+// not paused, a suspected one has no other request in flight, a cold one and one with a limit
+// are within their rates, and it has not stalled.
 func (p *Pool) available(now time.Time, r *Request, e *endpoint) bool {
 	if now.Before(e.ejectedUntil) || now.Before(e.pausedUntil) || e.suspected && e.inFlight > 0 {
 		return false
 	}
+	if p.limitWait(now, e) > 0 {
+		return false
+	}
 	if now.Before(e.coldUntil) && !(e.pace.allow(now) && p.isColdSender(e)) {
 		return false
 	}
--- a/keelplace/notice.go
+++ b/keelplace/notice.go
@@ -12,6 +12,10 @@
 	// RetryAfter is how long it wants none from this instance; 0 means that it did not
 	// say so.
 	RetryAfter time.Duration
+	// Limited is whether it limits the rate of requests from all instances together, and
+	// RateLimit the rate in requests per second; negative if that can't be read.
+	Limited   bool
+	RateLimit float64
 }
 
 // noticeRetention is how long a notice that an endpoint leaves is kept while the view
@@ -19,7 +23,7 @@
 const noticeRetention = 10 * time.Minute
 
 // Heed records the notice of the endpoint of a choice, and reports whether the endpoint
-// gets no requests any more that it would have got before. A notice holds for the
+// gets other requests than it would have got before. A notice holds for the
 // incarnation: it comes sooner than a view that shows the endpoint as leaving, and an
 // instance without contact to the voters has no other one.
 func (p *Pool) Heed(now time.Time, c *Choice, n Notice) (changed bool) {
@@ -37,7 +41,7 @@
 		p.serving = slices.DeleteFunc(p.serving, func(o *endpoint) bool { return o == e })
 		p.capacity = p.countCapacity()
 	}
-	return changed
+	return p.heedLimit(now, e, c, n) || changed
 }
 
 // leaving reports whether the endpoint said that it leaves.
@@ -48,12 +52,12 @@
 	return now.Before(e.pausedUntil) || e.leaving() && now.Sub(e.leavingSince) < noticeRetention
 }
 
-// pauseLeft returns the time until the first of the endpoints takes requests again, or 0
-// if one of them has not paused.
-func pauseLeft(now time.Time, endpoints []*endpoint) time.Duration {
+// blockedLeft returns the time until the first of the endpoints takes requests of this
+// instance again, after a pause or within its limit; 0 if one of them takes them now.
+func (p *Pool) blockedLeft(now time.Time, endpoints []*endpoint) time.Duration {
 	var left time.Duration
 	for _, e := range endpoints {
-		d := e.pausedUntil.Sub(now)
+		d := max(e.pausedUntil.Sub(now), p.limitWait(now, e))
 		if d <= 0 {
 			return 0
 		}
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -61,6 +61,7 @@
 	e.inFlight++
 	p.inFlight++
 	e.started = append(e.started, now)
+	e.rateLimit.limiter.Take(now)
 	if now.Before(e.coldUntil) {
 		e.pace.sent(now, p.spec.ColdRate/maxColdSenders)
 	}
--- a/keelplace/pace.go
+++ b/keelplace/pace.go
@@ -33,9 +33,12 @@
 }
 
 // isColdSender reports whether this instance is one of the [maxColdSenders] that
-// send to an endpoint while it is cold. They are chosen by failure domain, then
-// region, then hash.
-func (p *Pool) isColdSender(e *endpoint) bool {
+// send to an endpoint while it is cold.
+func (p *Pool) isColdSender(e *endpoint) bool { return p.isSender(e, maxColdSenders) }
+
+// isSender reports whether this instance is one of n that send to an endpoint. They are
+// chosen by failure domain, then region, then hash.
+func (p *Pool) isSender(e *endpoint, n int) bool {
 	type sender struct {
 		distance int
 		hash     uint64
@@ -49,7 +52,7 @@
 	slices.SortFunc(senders, func(a, b sender) int {
 		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
 	})
-	for i := range min(maxColdSenders, len(senders)) {
+	for i := range min(n, len(senders)) {
 		if senders[i].self {
 			return true
 		}
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -1,6 +1,7 @@
 package keelplace
 
 import (
+	"slices"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -32,15 +33,17 @@
 	service   keel.ServiceName
 	endpoints map[string]*endpoint
 	// serving holds the endpoints that take new requests, in the order of their ids.
-	serving     []*endpoint
-	capacity    capacity
-	nodes       []keelworld.Node
-	budget      budget
-	spec        keelworld.Service
-	regionShare regionShare
-	limit       concurrencyLimit
-	inFlight    int
-	refusals    int
+	serving  []*endpoint
+	capacity capacity
+	nodes    []keelworld.Node
+	// nodesVersion counts the changes of nodes.
+	nodesVersion int
+	budget       budget
+	spec         keelworld.Service
+	regionShare  regionShare
+	limit        concurrencyLimit
+	inFlight     int
+	refusals     int
 	// shedRate is the moving average of requests that endpoints with free slots shed, from
 	// 0 to 1.
 	shedRate float64
@@ -86,6 +89,7 @@
 	// leavingSince since when none at all; zero if it did not say so.
 	pausedUntil, leavingSince time.Time
 	pace                      coldPace
+	rateLimit                 rateLimit
 	// cached holds the objects for which the endpoint answered a request of this
 	// instance, timedOut those for which a request has timed out there since.
 	cached, timedOut objectSet
@@ -145,6 +149,9 @@
 	if s := v.Services[p.service]; s != nil {
 		p.spec = *s
 	}
+	if !slices.Equal(p.nodes, v.Nodes) {
+		p.nodesVersion++
+	}
 	p.nodes = v.Nodes
 	announced := v.Endpoints[p.service]
 	seen := make(map[string]bool, len(announced))
@@ -153,6 +160,7 @@
 		a := &announced[i]
 		seen[a.ID] = true
 		e := p.updateEndpoint(now, a)
+		p.followLimit(now, e, v)
 		if undrained[a.Domain] {
 			// The domain was drained until now, so its endpoints may have become cold.
 			e.markCold(now, p.spec.ColdTime)
@@ -176,7 +184,7 @@
 	if e == nil || e.Incarnation != a.Incarnation || e.Address != a.Address {
 		fresh := &endpoint{region: p.cfg.Region(a.Domain), slowdown: 1}
 		if e != nil && e.Incarnation == a.Incarnation {
-			fresh.pausedUntil, fresh.leavingSince = e.pausedUntil, e.leavingSince
+			fresh.pausedUntil, fresh.leavingSince, fresh.rateLimit = e.pausedUntil, e.leavingSince, e.rateLimit
 		}
 		e = fresh
 		p.endpoints[a.ID] = e
--- a/keelproxy/dialect.go
+++ b/keelproxy/dialect.go
@@ -30,6 +30,9 @@
 	// Leaving is the field of an answer with which an endpoint says that it leaves; its
 	// value is 1.
 	Leaving string
+	// RateLimit is the field of an answer with which an endpoint names the number of
+	// requests per second that it accepts from all instances together.
+	RateLimit string
 	// ServedBy is the field of an answer that names the failure domain.
 	ServedBy string
 	// MatchByPath means that requests are matched by host and path and need not name
@@ -49,6 +52,7 @@
 	ParseTimeout:  parseDuration,
 	FormatTimeout: func(d time.Duration) string { return d.Round(time.Millisecond).String() },
 	Leaving:       HeaderLeaving,
+	RateLimit:     HeaderRateLimit,
 	ServedBy:      HeaderServedBy,
 	Refuse:        WriteRefusal,
 }
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -38,6 +38,9 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderLeaving is 1 in the answers of an endpoint that leaves.
 	HeaderLeaving = "Keel-Leaving"
+	// HeaderRateLimit is the number of requests per second, as a decimal number, that an
+	// endpoint accepts from all instances together. It is in each answer while that holds.
+	HeaderRateLimit = "Keel-Rate-Limit"
 	// HeaderServedBy names the failure domain whose endpoint answered.
 	HeaderServedBy = "Keel-Served-By"
 )
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -95,7 +95,8 @@
 			Domain: s.Domain, Region: s.Region, Caller: s.Listen.Caller, Up: true,
 		},
 		Network: calls, PeerPort: s.PeerPort, Seeds: s.SeedAddrs(), Log: cfg.Log,
-		Observed: func(v *keelworld.View) ([]uint64, []keelworld.Crash) { return in.runner.Observed(v) },
+		Observed:   func(v *keelworld.View) ([]uint64, []keelworld.Crash) { return in.runner.Observed(v) },
+		RateLimits: func(v *keelworld.View) []keelworld.RateLimit { return in.runner.RateLimits(v) },
 	})
 	traffic := &keelproxy.Traffic{}
 	in.link = keelentry.NewLinkGuard(keelentry.LinkConfig{Traffic: traffic, BytesPerSecond: s.LinkBytesPerSecond()})
@@ -181,8 +182,9 @@
 		"in_flight": float64(in.front.InFlight()), "view_index": float64(v.Index),
 		"view_age_seconds": in.follower.Age(time.Now()).Seconds(),
 		"endpoints":        float64(endpoints), "entry_instances": float64(len(v.Nodes)),
-		"link_utilization": in.link.Utilization(),
-		"suspects":         float64(len(v.Suspects)),
+		"link_utilization":  in.link.Utilization(),
+		"suspects":          float64(len(v.Suspects)),
+		"limited_endpoints": float64(len(v.RateLimits)),
 	}
 }
 
@@ -193,7 +195,7 @@
 		"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "leaving": in.leaving.Load(),
 		"index": v.Index, "age_ms": in.follower.Age(time.Now()).Milliseconds(), "configured": v.Configured,
 		"endpoints": v.Endpoints, "drained": v.Drained, "entry_instances": v.Nodes,
-		"suspects": crashCounts(v.Suspects),
+		"suspects": crashCounts(v.Suspects), "rate_limits": perSecond(v.RateLimits),
 	}
 }
 
@@ -206,6 +208,15 @@
 	return counts
 }
 
+// perSecond returns the limits of endpoints in requests per second by id.
+func perSecond(all keelworld.RateLimits) map[string]float64 {
+	rates := make(map[string]float64, len(all))
+	for id, l := range all {
+		rates[id] = l.PerSecond
+	}
+	return rates
+}
+
 func (in *Entry) runFront(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = in.callerListener.Close() })
 	defer stop()
--- a/keelsteer/domain.go
+++ b/keelsteer/domain.go
@@ -256,10 +256,11 @@
 		x.failed(err)
 		return nil, err
 	}
-	if pl.heed(time.Now(), t, answer.Notice) {
+	if pl.heed(time.Now(), x.start, t, answer.Notice) {
 		e.cfg.Log.WithFields(logrus.Fields{
 			"endpoint": t.ID.String(), "request": r.ID, "leaving": answer.Notice.Leaving, "pause_ms": answer.Notice.RetryAfter.Milliseconds(),
-		}).Info("endpoint wants no requests")
+			"limited": answer.Notice.Limited, "per_second": answer.Notice.RateLimit,
+		}).Info("endpoint wants no or fewer requests")
 	}
 	x.ReadCloser, x.shed = answer.Body, turnedAway(answer.Status)
 	answer.Body = x
--- a/keelsteer/handover.go
+++ b/keelsteer/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
@@ -29,6 +30,16 @@
 type handOverEndpoint struct {
 	ID   keel.EndpointID `cbor:"1,keyasint"`
 	Busy int             `cbor:"2,keyasint"`
+	// Limit is the limit on the rate of requests, which an answer named.
+	Limit handOverLimit `cbor:"3,keyasint,omitzero"`
+}
+
+// handOverLimit is the limit of an endpoint on the rate of requests, if it is Limited.
+type handOverLimit struct {
+	Limited     bool   `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// PerSecond is the rate in requests per second.
+	PerSecond float64 `cbor:"3,keyasint"`
 }
 
 // Check reports the faults of the message.
@@ -40,6 +51,9 @@
 		if m.Endpoints[i].Busy < 0 {
 			fs.Add("endpoints.busy", "is %d, must not be negative", m.Endpoints[i].Busy)
 		}
+		if rate := m.Endpoints[i].Limit.PerSecond; !(rate >= 0) || math.IsInf(rate, 0) {
+			fs.Add("endpoints.limit", "is %v, must be a number of at least 0", rate)
+		}
 	}
 	return fs
 }
@@ -135,7 +149,7 @@
 		if messages[owner] == nil {
 			messages[owner] = &handOverMessage{}
 		}
-		messages[owner].Endpoints = append(messages[owner].Endpoints, handOverEndpoint{ID: id, Busy: inFlight})
+		messages[owner].Endpoints = append(messages[owner].Endpoints, handOverEndpoint{ID: id, Busy: inFlight, Limit: pl.limitOf(id)})
 	}
 	return messages
 }
@@ -155,6 +169,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, endpoint := range message.Endpoints {
+		if pl := e.pools[endpoint.ID.Service]; pl != nil {
+			pl.acceptLimit(now, endpoint.ID, endpoint.Limit)
+		}
 		previous, known := e.handOvers.incoming[endpoint.ID]
 		if known && previous.inFlight == endpoint.Busy {
 			e.handOvers.incoming[endpoint.ID] = incomingHandOver{inFlight: endpoint.Busy, receivedAt: now}
--- a/keelsteer/notice_test.go
+++ b/keelsteer/notice_test.go
@@ -35,7 +35,12 @@
 
 // runAtOnlyEndpoint runs a request and reads its answer.
 func runAtOnlyEndpoint(ctx context.Context, e *keelsteer.Engine, id string) error {
-	a, err := e.RunRequest(ctx, &keelproxy.Request{ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/", Timeout: time.Minute})
+	return runAtOnlyEndpointWithin(ctx, e, id, time.Minute)
+}
+
+// runAtOnlyEndpointWithin does so with a time limit.
+func runAtOnlyEndpointWithin(ctx context.Context, e *keelsteer.Engine, id string, limit time.Duration) error {
+	a, err := e.RunRequest(ctx, &keelproxy.Request{ID: id, Service: "s0", Host: "s0", Method: "GET", URI: "/", Timeout: limit})
 	if err != nil {
 		return err
 	}
--- a/keelsteer/pool.go
+++ b/keelsteer/pool.go
@@ -173,6 +173,7 @@
 		p.targets[o.state.ID] = o.target
 		o.state.EjectedUntil = p.blockedUntil(o.state.ID)
 		p.queue.SetEndpoint(now, o.state)
+		p.applyLimit(now, o.state.ID)
 		if o.drain || p.isLeaving(o.state.ID) {
 			p.queue.Drain(o.state.ID)
 		}
--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -87,6 +87,17 @@
 	})
 }
 
+// addRateLimits adds limits of endpoints. The later one of an endpoint replaces the earlier
+// one.
+func (b *batcher) addRateLimits(limits []keelworld.RateLimit) {
+	b.update(func(c *batch) {
+		for i := range limits {
+			same := func(o keelworld.RateLimit) bool { return o.Endpoint == limits[i].Endpoint }
+			c.command.RateLimits = append(slices.DeleteFunc(c.command.RateLimits, same), limits[i])
+		}
+	})
+}
+
 func (b *batcher) take() *batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -19,6 +19,7 @@
 	r.PartBytes = min(r.PartBytes, maxPartBytes)
 	v.recordNode(r.Node)
 	v.recordCrashes(r.Answered, r.Crashes)
+	v.recordRateLimits(r.RateLimits)
 	a, err := v.feed(ctx, &r)
 	if err != nil {
 		return keel.Envelope{}, err
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -34,7 +34,10 @@
 	// Observed, if not nil, returns the answered requests and the crashes that the next
 	// poll is to report, each at most [MaxReported].
 	Observed func(now *keelworld.View) (answered []uint64, crashes []keelworld.Crash)
-	Log      *logrus.Entry
+	// RateLimits, if not nil, returns the limits of endpoints that the next poll is to
+	// report, at most [MaxReported].
+	RateLimits func(now *keelworld.View) []keelworld.RateLimit
+	Log        *logrus.Entry
 }
 
 const (
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -109,6 +109,11 @@
 	if len(c.Answered) > 0 || len(c.Crashes) > 0 {
 		l.WithFields(logrus.Fields{"answered": len(c.Answered), "crashes": len(c.Crashes), "suspects": len(m.state.Suspects())}).Info("requests that crash endpoints changed")
 	}
+	for _, rl := range c.RateLimits {
+		l.WithFields(logrus.Fields{
+			"endpoint": rl.Endpoint, "born": rl.Incarnation, "per_second": rl.PerSecond, "lifted": rl.Lifted,
+		}).Info("rate limit of an endpoint changed")
+	}
 	for i := range c.Nodes {
 		n := &c.Nodes[i]
 		l.WithFields(logrus.Fields{"instance": n.Name, "up": n.Up, "voter": n.Voter, "started": n.Incarnation}).Info("instance changed")
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -36,9 +36,12 @@
 	// [keelworld.Command].
 	Answered []uint64          `cbor:"7,keyasint,omitempty"`
 	Crashes  []keelworld.Crash `cbor:"8,keyasint,omitempty"`
+	// RateLimits are the limits of endpoints on which the sender's state is out of date.
+	RateLimits []keelworld.RateLimit `cbor:"9,keyasint,omitempty"`
 }
 
-// MaxReported limits the crashes, and the answered requests, in one poll.
+// MaxReported limits the crashes, the answered requests, and the limits of endpoints, in one
+// poll.
 const MaxReported = 256
 
 // maxFeedWait is the limit of feedRequest.Wait.
@@ -59,6 +62,12 @@
 	for i := range r.Crashes {
 		fs.Under("crashes", r.Crashes[i].Check())
 	}
+	if len(r.RateLimits) > MaxReported {
+		fs.Add("rate_limits", "has %d entries, the limit is %d", len(r.RateLimits), MaxReported)
+	}
+	for i := range r.RateLimits {
+		fs.Under("rate_limits", r.RateLimits[i].Check())
+	}
 	return fs
 }
 
--- a/keelsync/poll.go
+++ b/keelsync/poll.go
@@ -134,6 +134,9 @@
 	if f.cfg.Observed != nil {
 		p.request.Answered, p.request.Crashes = f.cfg.Observed(f.view.Load())
 	}
+	if f.cfg.RateLimits != nil {
+		p.request.RateLimits = f.cfg.RateLimits(f.view.Load())
+	}
 	p.ctx, p.cancel = context.WithTimeout(ctx, limit+lateAnswerTimeout)
 	f.cancelPoll = p.cancel
 	if len(f.pending) == maxPendingPolls {
--- a/keelsync/sync_test.go
+++ b/keelsync/sync_test.go
@@ -38,6 +38,8 @@
 	ctx   context.Context
 	// observed is what followers report, by name.
 	observed map[string]func(*keelworld.View) ([]uint64, []keelworld.Crash)
+	// limits are the limits of endpoints that followers report, by name.
+	limits map[string]func(*keelworld.View) []keelworld.RateLimit
 	// retention is how long the crashes of a request count.
 	retention time.Duration
 }
@@ -50,6 +52,7 @@
 		t: t, hub: keelpeer.NewMemoryHub(keelpeer.HubConfig{Seed: 1}), log: logrus.NewEntry(logger),
 		disks: map[string]*keelstore.Memory{}, stops: map[string]func(){}, ctx: ctx,
 		observed: map[string]func(*keelworld.View) ([]uint64, []keelworld.Crash){},
+		limits:   map[string]func(*keelworld.View) []keelworld.RateLimit{},
 	}
 	for _, s := range seeds {
 		w.seeds = append(w.seeds, netip.MustParseAddr(s))
@@ -367,7 +370,7 @@
 			Caller: netip.AddrPortFrom(netip.MustParseAddr(name), 80), Up: true,
 		},
 		Network: network, PeerPort: peerPort,
-		Seeds: w.seeds, OnChange: onChange, Observed: w.observed[name], Log: w.log,
+		Seeds: w.seeds, OnChange: onChange, Observed: w.observed[name], RateLimits: w.limits[name], Log: w.log,
 	})
 	w.run(name, network, f.Run)
 	return f
--- a/keelworld/command.go
+++ b/keelworld/command.go
@@ -5,7 +5,8 @@
 )
 
 // Command is one change of the state. Patch and Drain are each set alone. Endpoints,
-// Nodes, Answered and Crashes may be set together. A command without any of them changes nothing.
+// Nodes, Answered, Crashes and RateLimits may be set together. A command without any of them
+// changes nothing.
 type Command struct {
 	// ID identifies the command, so that its proposer can look up the result.
 	ID    string `cbor:"1,keyasint,omitempty"`
@@ -25,6 +26,8 @@
 	// crashes no longer count, and Crashes new crashes.
 	Answered []uint64 `cbor:"7,keyasint,omitempty"`
 	Crashes  []Crash  `cbor:"8,keyasint,omitempty"`
+	// RateLimits holds limits that endpoints have named, changed or lifted.
+	RateLimits []RateLimit `cbor:"9,keyasint,omitempty"`
 }
 
 // Drain starts or ends the drain of a failure domain. Its endpoints get no new
@@ -49,6 +52,9 @@
 	for i := range c.Crashes {
 		fs.Under("crashes", c.Crashes[i].Check())
 	}
+	for i := range c.RateLimits {
+		fs.Under("rate_limits", c.RateLimits[i].Check())
+	}
 	return fs
 }
 
--- a/keelworld/state.go
+++ b/keelworld/state.go
@@ -28,6 +28,7 @@
 	// registeredAt is the index that registered the incarnation of an endpoint.
 	registeredAt map[string]uint64
 	suspects     Suspects
+	rateLimits   RateLimits
 }
 
 // NewState returns the state before the first log entry.
@@ -41,6 +42,7 @@
 		drainOrderedAt: map[keel.DomainName]uint64{},
 		registeredAt:   map[string]uint64{},
 		suspects:       Suspects{},
+		rateLimits:     RateLimits{},
 	}
 }
 
@@ -79,6 +81,7 @@
 		s.applyNode(n)
 	}
 	s.applyCrashes(index, c.Answered, c.Crashes)
+	s.applyRateLimits(index, c.RateLimits)
 	return r
 }
 
@@ -158,6 +161,7 @@
 	}
 	if !ok || o.Incarnation != e.Incarnation {
 		s.registeredAt[e.ID] = index
+		s.dropRateLimit(e.ID)
 	}
 	s.endpoints[e.ID] = *e
 	s.evictDeparted()
@@ -187,6 +191,7 @@
 	for i := range min(len(old), maxEndpoints/4) {
 		delete(s.endpoints, old[i].ID)
 		delete(s.registeredAt, old[i].ID)
+		s.dropRateLimit(old[i].ID)
 	}
 }
 
@@ -215,6 +220,9 @@
 // Suspects returns the requests that crash endpoints.
 func (s *State) Suspects() Suspects { return s.suspects }
 
+// RateLimits returns the limits of the endpoints that named one.
+func (s *State) RateLimits() RateLimits { return s.rateLimits }
+
 // Endpoints returns all known endpoints in no particular order, including those
 // that left or are silent.
 func (s *State) Endpoints() iter.Seq[Endpoint] { return maps.Values(s.endpoints) }
@@ -250,6 +258,7 @@
 	PatchRefusedAt uint64                     `cbor:"7,keyasint,omitempty"`
 	RegisteredAt   map[string]uint64          `cbor:"8,keyasint,omitempty"`
 	Suspects       Suspects                   `cbor:"9,keyasint,omitempty"`
+	RateLimits     RateLimits                 `cbor:"10,keyasint,omitempty"`
 }
 
 // Check reports no faults: the contents of a snapshot were checked before they were
@@ -261,7 +270,7 @@
 	sn := &Snapshot{
 		Index: s.index, Drains: slices.Sorted(maps.Keys(s.drains)),
 		DrainOrderedAt: maps.Clone(s.drainOrderedAt), PatchRefusedAt: s.patchRefusedAt, RegisteredAt: maps.Clone(s.registeredAt),
-		Suspects: s.suspects,
+		Suspects: s.suspects, RateLimits: s.rateLimits,
 	}
 	for _, it := range s.items {
 		sn.Items = append(sn.Items, it)
@@ -284,6 +293,7 @@
 	maps.Copy(s.drainOrderedAt, sn.DrainOrderedAt)
 	maps.Copy(s.registeredAt, sn.RegisteredAt)
 	maps.Copy(s.suspects, sn.Suspects)
+	maps.Copy(s.rateLimits, sn.RateLimits)
 	for _, it := range sn.Items {
 		s.items[it.ItemKey] = it
 	}
--- a/keelworld/view.go
+++ b/keelworld/view.go
@@ -26,6 +26,8 @@
 	Nodes []Node
 	// Suspects holds the requests that crash endpoints.
 	Suspects Suspects
+	// RateLimits holds the limits of the endpoints that named one.
+	RateLimits RateLimits
 	// routes holds the routes by host, the longest prefix first.
 	routes map[string][]namedRoute
 }
@@ -38,12 +40,13 @@
 // View returns a view of the current state.
 func (s *State) View() *View {
 	v := &View{
-		Index:     s.index,
-		Services:  map[keel.ServiceName]*Service{},
-		Endpoints: map[keel.ServiceName][]Endpoint{},
-		Drained:   maps.Clone(s.drains),
-		Suspects:  s.suspects,
-		routes:    map[string][]namedRoute{},
+		Index:      s.index,
+		Services:   map[keel.ServiceName]*Service{},
+		Endpoints:  map[keel.ServiceName][]Endpoint{},
+		Drained:    maps.Clone(s.drains),
+		Suspects:   s.suspects,
+		RateLimits: s.rateLimits,
+		routes:     map[string][]namedRoute{},
 	}
 	for k, it := range s.items {
 		v.Configured = true
