keelentry, keelplace, keelsync: instances that reach no endpoint relay requests

What callers saw: entry instances that were cut off from all endpoints, but not from callers and voters, refused them.

Cause: an instance judged each endpoint by itself and did not know that its own links were lost; it stayed in look-ups and had no other way for a request. The log of one such instance has 61 of 127 requests as "unreachable", and 40 refused without an attempt for the limit or the ejections that followed.

Change: failures of three endpoints without a new connection in between make the instance open a connection to an endpoint in each failure domain. If none opens, it relays requests to other instances, at their caller ports, and tells the voters, so that look-ups leave it out and others have its part of limits. A relayed request is relayed once only, and tried at another instance only if it has certainly not run. With the first connection that opens it sends to endpoints again, and drops what it held against them, but for a cold time that an endpoint announced.

serve: an owner without links ejects its endpoints, and requests go elsewhere; TestOwnerReachesNoEndpoint passed before this change.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -12,6 +12,7 @@
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 	"github.com/greengagekeel/greengagekeel/keelworld"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
 )
 
 // Config configures a [Runner].
@@ -32,6 +33,9 @@
 	Link *LinkGuard
 	// Status returns the HTTP status with which a refusal is answered.
 	Status func(*keel.Refusal) int
+	// Isolated, if not nil, is called when the instance loses contact with all endpoints, and
+	// when it regains it. It must not block.
+	Isolated func(isolated bool)
 	// RetryBudget limits the retries of requests at other endpoints.
 	RetryBudget keelplace.RetryBudget
 	Log         *logrus.Entry
@@ -65,18 +69,42 @@
 	longestTimeout map[string]time.Duration
 	crashes        *crashGuard
 	limits         *limitReports
+	contact        *contactGuard
 }
 
 // NewRunner returns a runner without pools. They are created on first use.
 func NewRunner(cfg Config) *Runner {
-	return &Runner{
+	rn := &Runner{
 		cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{},
 		crashes: newCrashGuard(cfg.Client.Probe), limits: newLimitReports(),
 	}
+	rn.contact = newContactGuard(rn)
+	return rn
 }
 
-// Run finds out whether endpoints whose connections broke have crashed, until ctx ends.
-func (rn *Runner) Run(ctx context.Context) error { return rn.crashes.run(ctx) }
+// Run finds out whether endpoints whose connections broke have crashed, and whether the
+// instance reaches any endpoint, until ctx ends.
+func (rn *Runner) Run(ctx context.Context) error {
+	group := pool.New().WithErrors().WithContext(ctx).WithCancelOnError()
+	group.Go(rn.crashes.run)
+	group.Go(rn.contact.run)
+	return group.Wait()
+}
+
+// Connected tells the runner that its client has opened a connection to an endpoint.
+func (rn *Runner) Connected() { rn.contact.connected() }
+
+// Isolated reports whether the instance reaches no endpoint.
+func (rn *Runner) Isolated() bool { return rn.contact.isolated() }
+
+// regained drops what was observed of endpoints while the instance reached none.
+func (rn *Runner) regained(now time.Time) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, p := range rn.pools {
+		p.Regained(now)
+	}
+}
 
 // Observed returns what the voters are to know of requests that crash endpoints, see
 // [keelsync.FollowerConfig].
@@ -124,7 +152,9 @@
 		return nil, t.logRefused(err)
 	}
 	a, refusal := t.dispatch(ctx, now)
-	t.recordCrashes(a != nil)
+	if !t.relayed {
+		t.recordCrashes(a != nil)
+	}
 	if refusal != nil {
 		return nil, t.logRefused(refusal)
 	}
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -45,6 +45,8 @@
 	shedWithCapacity bool
 	// paused is whether the endpoint of the last attempt turns requests away for a time.
 	paused bool
+	// relayed is whether the request was offered to other instances.
+	relayed bool
 	// priorWait is the estimated time that the caller had waited before it sent
 	// this request.
 	priorWait time.Duration
@@ -108,9 +110,30 @@
 	return nil
 }
 
-// dispatch sends the request to endpoints until one answers or no retry is allowed.
+// dispatch sends the request to endpoints, or relays it to another instance if this one reaches
+// none.
 func (t *task) dispatch(ctx context.Context, now time.Time) (*keelproxy.Answer, *keel.Refusal) {
 	t.withPool(now, func(p *keelplace.Pool) { p.Arrived(now, t.runner.cfg.RetryBudget, t.route) })
+	if t.runner.contact.isolated() {
+		if t.request.Relayed {
+			return nil, keel.Refuse(keel.NotRun, keel.ReasonNoEndpoint, leavingRetryAfter, "the instance reaches no endpoint")
+		}
+		if a, refusal, taken := t.relay(ctx); taken {
+			return a, refusal
+		}
+	}
+	a, refusal := t.sendToEndpoints(ctx, now)
+	if refusal == nil || t.relayed || !t.mayRelay(refusal) || !t.runner.contact.isolated() {
+		return a, refusal
+	}
+	if a, relayed, taken := t.relay(ctx); taken {
+		return a, relayed
+	}
+	return nil, refusal
+}
+
+// sendToEndpoints sends the request to endpoints until one answers or no retry is allowed.
+func (t *task) sendToEndpoints(ctx context.Context, now time.Time) (*keelproxy.Answer, *keel.Refusal) {
 	var last *keel.Refusal
 	for {
 		if !t.streamed && t.request.CallerLeft() {
@@ -247,10 +270,7 @@
 		r.Body = bytes.NewReader(t.body)
 		r.ContentLength = int64(len(t.body))
 	}
-	target := keelproxy.Target{
-		ID:      keel.EndpointID{Service: e.Service, Name: keel.EndpointName(e.ID)},
-		Address: e.Address, Domain: e.Domain,
-	}
+	target := endpointTarget(e)
 	a, err := t.runner.cfg.Client.Dispatch(ctx, target, r)
 	var o keelplace.Outcome
 	if err != nil {
@@ -266,6 +286,7 @@
 		t.noteBroken(e, target)
 	}
 	t.withPool(end, func(p *keelplace.Pool) { p.Ended(end, now, t.route, c, o) })
+	t.runner.contact.record(end, e.ID, o.Kind)
 	t.shedWithCapacity = o.Kind == keelplace.Shed && !o.Report.Full() && !t.paused
 	if !t.shedWithCapacity {
 		// An endpoint that shed the request despite free slots may accept the next
--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -313,7 +313,7 @@
 	if p.limitWait(now, e) > 0 {
 		return false
 	}
-	if now.Before(e.coldUntil) && !(e.pace.allow(now) && p.isColdSender(e)) {
+	if e.isCold(now) && !(e.pace.allow(now) && p.isColdSender(e)) {
 		return false
 	}
 	if len(e.started) > 0 && e.answeredAt.Before(e.started[0]) {
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -62,7 +62,7 @@
 	p.inFlight++
 	e.started = append(e.started, now)
 	e.rateLimit.limiter.Take(now)
-	if now.Before(e.coldUntil) {
+	if e.isCold(now) {
 		e.pace.sent(now, p.spec.ColdRate/maxColdSenders)
 	}
 }
@@ -184,7 +184,7 @@
 	e.ejectedUntil = now.Add(min(minEjection<<min(e.failures-1, 4), maxEjection))
 	if kind == Unreachable {
 		// The endpoint may have restarted when it is reachable again.
-		e.coldUntil = e.ejectedUntil.Add(p.spec.ColdTime)
+		e.assumedColdUntil = e.ejectedUntil.Add(p.spec.ColdTime)
 	}
 }
 
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -35,7 +35,8 @@
 	// serving holds the endpoints that take new requests, in the order of their ids.
 	serving  []*endpoint
 	capacity capacity
-	nodes    []keelworld.Node
+	// nodes holds the entry instances that send requests to endpoints.
+	nodes []keelworld.Node
 	// nodesVersion counts the changes of nodes.
 	nodesVersion int
 	budget       budget
@@ -84,7 +85,9 @@
 	// it shed requests with free slots, and sheds the number of those since it answered.
 	setAsideUntil time.Time
 	sheds         int
-	coldUntil     time.Time
+	// coldUntil is until when it said that it is cold, and assumedColdUntil until when that is
+	// assumed, since it was unreachable and may have restarted.
+	coldUntil, assumedColdUntil time.Time
 	// pausedUntil is until when the endpoint wants no requests from this instance, and
 	// leavingSince since when none at all; zero if it did not say so.
 	pausedUntil, leavingSince time.Time
@@ -149,10 +152,11 @@
 	if s := v.Services[p.service]; s != nil {
 		p.spec = *s
 	}
-	if !slices.Equal(p.nodes, v.Nodes) {
+	nodes := Reaching(v.Nodes)
+	if !slices.Equal(p.nodes, nodes) {
 		p.nodesVersion++
 	}
-	p.nodes = v.Nodes
+	p.nodes = nodes
 	announced := v.Endpoints[p.service]
 	seen := make(map[string]bool, len(announced))
 	p.serving = p.serving[:0]
@@ -190,12 +194,16 @@
 		p.endpoints[a.ID] = e
 	}
 	if e.Sequence != a.Sequence || e.Incarnation != a.Incarnation {
-		e.coldUntil = now.Add(a.Cold) // replaces any estimate
+		e.coldUntil, e.assumedColdUntil = now.Add(a.Cold), time.Time{}
 	}
 	e.Endpoint = *a
 	return e
 }
 
+func (e *endpoint) isCold(now time.Time) bool {
+	return now.Before(e.coldUntil) || now.Before(e.assumedColdUntil)
+}
+
 // markCold makes an endpoint count as cold for at least d.
 func (e *endpoint) markCold(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(e.coldUntil) {
--- a/keelproxy/dialect.go
+++ b/keelproxy/dialect.go
@@ -27,6 +27,9 @@
 	Affinity string
 	// Target is the field of a request that names the endpoint it is sent to.
 	Target string
+	// Relayed is the field of a request that an instance without contact to endpoints sends
+	// to the caller port of another one; its value is 1. It is not sent to endpoints.
+	Relayed string
 	// Leaving is the field of an answer with which an endpoint says that it leaves; its
 	// value is 1.
 	Leaving string
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -23,6 +23,8 @@
 	Incarnation uint64
 	Address     netip.AddrPort
 	Domain      keel.DomainName
+	// Relays is whether the target is no endpoint but the caller port of another instance.
+	Relays bool
 }
 
 // ConnObserver is notified of opened and closed connections to endpoints. Its
@@ -331,6 +333,9 @@
 	if d.Target != "" {
 		out.Header.Set(d.Target, string(t.ID.Name))
 	}
+	if t.Relays && d.Relayed != "" {
+		out.Header.Set(d.Relayed, "1")
+	}
 	if r.Body != nil {
 		out.SetBodyStream(body, int(r.ContentLength))
 	}
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -240,6 +240,9 @@
 	if !d.KeepID && (r.ID == "" || len(r.ID) > keel.MaxNameLength) {
 		r.ID = f.cfg.NewID()
 	}
+	if d.Relayed != "" {
+		r.Relayed = len(h.Peek(d.Relayed)) > 0
+	}
 	if d.Affinity != "" {
 		r.Affinity = texts.copyString(h.Peek(d.Affinity))
 	}
@@ -256,7 +259,7 @@
 // internalFields returns the request's header fields that are not passed on,
 // because they are addressed to the instance or set again for the endpoint.
 func (d *Dialect) internalFields() []string {
-	return []string{"Host", d.Timeout, d.RequestID, d.Target, HeaderTicket, HeaderService}
+	return []string{"Host", d.Timeout, d.RequestID, d.Target, d.Relayed, HeaderTicket, HeaderService}
 }
 
 func badRequest(format string, args ...any) *keel.Refusal {
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -104,6 +104,9 @@
 	Deadline time.Time `cbor:"-"`
 	Body     io.Reader `cbor:"-"`
 
+	// Relayed is whether another instance relays the request here, see [Dialect.Relayed].
+	Relayed bool `cbor:"-"`
+
 	// conn is the connection of the caller; nil if another instance forwarded the
 	// request.
 	conn *callerConn
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -102,6 +102,7 @@
 	in.link = keelentry.NewLinkGuard(keelentry.LinkConfig{Traffic: traffic, BytesPerSecond: s.LinkBytesPerSecond()})
 	in.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{
 		DialTimeout: dialTimeout, IdleTimeout: endpointIdleTimeout, Dialect: cfg.Dialect, Traffic: traffic,
+		Observer: keelentry.ContactObserver{Connected: func() { in.runner.Connected() }},
 	})
 	in.runner = keelentry.NewRunner(keelentry.Config{
 		Pool: keelplace.Config{
@@ -110,6 +111,7 @@
 		},
 		View: in.follower.View, Age: in.follower.Age, Silence: in.follower.Silence, Client: in.client, ReadFacts: cfg.ReadFacts, Status: cfg.Status,
 		Link:        in.link,
+		Isolated:    in.follower.SetIsolated,
 		RetryBudget: keelplace.RetryBudget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow()},
 		Log:         cfg.Log,
 	})
@@ -184,16 +186,25 @@
 		"endpoints":        float64(endpoints), "entry_instances": float64(len(v.Nodes)),
 		"link_utilization":  in.link.Utilization(),
 		"suspects":          float64(len(v.Suspects)),
+		"isolated":          number(in.runner.Isolated()),
 		"limited_endpoints": float64(len(v.RateLimits)),
 	}
 }
 
+// number returns 1 for true.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // stateDump returns the state that the operator port shows.
 func (in *Entry) stateDump() any {
 	v := in.follower.View()
 	return map[string]any{
 		"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "leaving": in.leaving.Load(),
-		"index": v.Index, "age_ms": in.follower.Age(time.Now()).Milliseconds(), "configured": v.Configured,
+		"index": v.Index, "age_ms": in.follower.Age(time.Now()).Milliseconds(), "configured": v.Configured, "isolated": in.runner.Isolated(),
 		"endpoints": v.Endpoints, "drained": v.Drained, "entry_instances": v.Nodes,
 		"suspects": crashCounts(v.Suspects), "rate_limits": perSecond(v.RateLimits),
 	}
@@ -256,7 +267,7 @@
 // Nearest returns the caller ports of the entry instances nearest to a caller in a
 // failure domain and a region, and how long the caller may cache them.
 func (in *Entry) Nearest(domain keel.DomainName, region keel.RegionName) ([]netip.AddrPort, time.Duration) {
-	addrs := keelplace.Nearest(in.follower.View().Nodes, domain, region, rand.Int())
+	addrs := keelplace.Nearest(keelplace.Reaching(in.follower.View().Nodes), domain, region, rand.Int())
 	return addrs, min(lookupTTL, in.cfg.Settings.Timing.LookupTTL())
 }
 
--- a/keelsteer/failing_test.go
+++ b/keelsteer/failing_test.go
@@ -211,3 +211,23 @@
 	}
 	is.Equal(f.requests.Load(), int64(10))
 }
+
+// An owner has lost its links to its endpoints, to which connections are refused. As long as another
+// domain has slots, it soon tries no more, so that requests go there.
+func TestOwnerReachesNoEndpoint(t *testing.T) {
+	const requests, owned = 30, 1
+	is := is.New(t)
+	f := newFailingEndpoint(t)
+	_ = f.Close()
+	e := f.engine(t, 4)
+	tried := 0
+	for i := 0; i < requests || tried == 0; i++ { // the first ones come before the instance owns the endpoint
+		_, err := e.RunRequest(t.Context(), &keelproxy.Request{ID: fmt.Sprint(i), Service: "s0", Host: "s0", Method: "GET", URI: "/", Timeout: failTimeout})
+		is.Equal(keel.VerdictOf(err), keel.NotRun)
+		if keelproxy.AsRefusal(err).Reason == keel.ReasonEndpointFailed {
+			tried++
+		}
+	}
+	const ejectAfter = 5
+	is.True(tried <= 2*ejectAfter*owned)
+}
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -162,6 +162,19 @@
 	}
 }
 
+// SetIsolated reports to the voters whether this instance reaches no endpoint.
+func (f *Follower) SetIsolated(isolated bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.self.Isolated == isolated {
+		return
+	}
+	f.self.Isolated = isolated
+	if f.cancelPoll != nil {
+		f.cancelPoll()
+	}
+}
+
 // SetSeeds replaces the instances to poll while no voters are known.
 func (f *Follower) SetSeeds(seeds []netip.Addr) {
 	f.mu.Lock()
--- a/keelworld/endpoint.go
+++ b/keelworld/endpoint.go
@@ -137,6 +137,9 @@
 	// Voter is whether the instance keeps the replicated log. A voter takes no
 	// requests of callers.
 	Voter bool `cbor:"7,keyasint,omitempty"`
+	// Isolated is whether the instance reaches no endpoint. It relays requests of callers to
+	// other instances then.
+	Isolated bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Check reports a missing name or address.
