keelentry: each probe of a broken connection has its own time limit

What callers would see: an innocent request blocked as one that crashes endpoints. When the connections to more than eight endpoints break at once, and those accept no new connection without refusing it, their probes use up the 0.5 s that all probes of a round shared; the endpoints after them counted as crashed unprobed.

TestSlowProbesOfOtherEndpoints fails before the change: 40 endpoints count as crashed where 30 hang.

--- a/keelentry/crashguard.go
+++ b/keelentry/crashguard.go
@@ -96,19 +96,23 @@
 		s := start{b.crash.Endpoint, b.crash.Incarnation}
 		runs[s] = append(runs[s], b)
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	probes := pool.New().WithMaxGoroutines(maxProbes)
 	for _, all := range runs {
-		probes.Go(func() {
-			if g.probe(ctx, all[0].target) != nil {
-				g.addCrashes(time.Now(), all)
-			}
-		})
+		probes.Go(func() { g.probeEndpoint(ctx, all) })
 	}
 	probes.Wait()
 }
 
+// probeEndpoint probes the endpoint at which all of the runs broke. The time limit is that of this
+// probe: it must not be used up by those before, of endpoints that hang.
+func (g *crashGuard) probeEndpoint(ctx context.Context, all []brokenRun) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if g.probe(probeCtx, all[0].target) != nil && ctx.Err() == nil {
+		g.addCrashes(time.Now(), all)
+	}
+}
+
 func (g *crashGuard) addCrashes(now time.Time, all []brokenRun) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
