keelentry: requests with home regions are relayed to instances in these only

A caller may have connected to an instance outside of its own region, whose other instances are then neither at home for the request nor in the caller's region.

--- a/keelentry/relay.go
+++ b/keelentry/relay.go
@@ -56,13 +56,14 @@
 }
 
 // relayPeers returns the caller ports of instances that reach endpoints, as a look-up would name
-// them. Requests with home regions stay in these and in the region of the caller.
+// them. Requests with home regions stay in these: the caller may have come from another region
+// than that of this instance.
 func (t *task) relayPeers() []netip.AddrPort {
 	cfg := &t.runner.cfg.Pool
 	nodes := slices.DeleteFunc(slices.Clone(t.view.Nodes), func(n keelworld.Node) bool {
 		homes := t.spec.HomeRegions
 		return n.Name == cfg.Self || n.Isolated ||
-			len(homes) > 0 && n.Region != cfg.Location.Region && !slices.Contains(homes, n.Region)
+			len(homes) > 0 && !slices.Contains(homes, n.Region)
 	})
 	peers := keelplace.Nearest(nodes, cfg.Location.Domain, cfg.Location.Region, rand.Int())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
