keelentry: an instance without links to endpoints reports no crashes

What callers would see: an ordinary request, such as one for a page that many ask for, refused everywhere as one that crashes endpoints. Connections of an instance that loses its links break, and its probes of the endpoints fail, so that each request in flight counted as a crash; three of them block it for all instances until one answers a copy.

A failed probe counts only if the instance reaches another endpoint, by a probe of the same round or by connections to other endpoints. TestBrokenLinksAreNoCrashes fails without that check (5 crashes where none is due), as it can't tell the cases apart.

--- a/keelentry/contactguard.go
+++ b/keelentry/contactguard.go
@@ -122,10 +122,30 @@
 
 // check opens a connection to one endpoint in each failure domain, until one is open.
 func (g *contactGuard) check(ctx context.Context, v *keelworld.View) {
-	targets := contactTargets(v)
+	targets := contactTargets(v, nil)
 	if len(targets) == 0 {
 		return
 	}
+	reached, timedOut := g.reach(ctx, targets)
+	if reached {
+		g.connected()
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	lost := g.contact.Confirm(now, timedOut)
+	g.mu.Unlock()
+	if lost {
+		g.changed(now, true)
+	}
+}
+
+// reach opens connections to all targets, until one is open. If none is, it reports whether some
+// timed out.
+func (g *contactGuard) reach(ctx context.Context, targets []keelproxy.Target) (reached, timedOut bool) {
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	probes := pool.NewWithResults[error]()
@@ -138,37 +158,55 @@
 			return err
 		})
 	}
-	timedOut := false
 	for _, err := range probes.Wait() {
 		if err == nil {
-			g.connected()
-			return
+			return true, false
 		}
 		var ne net.Error
 		timedOut = timedOut || errors.As(err, &ne) && ne.Timeout()
 	}
-	now := time.Now()
-	g.mu.Lock()
-	lost := g.contact.Confirm(now, timedOut)
-	g.mu.Unlock()
-	if lost {
-		g.changed(now, true)
+	return false, timedOut
+}
+
+// reachesOthers reports whether a connection to an endpoint other than some can be opened, or
+// whether there is none.
+func (g *contactGuard) reachesOthers(ctx context.Context, except map[string]bool) bool {
+	targets := contactTargets(g.runner.cfg.View(), except)
+	if len(targets) == 0 {
+		return true
 	}
+	reached, _ := g.reach(ctx, targets)
+	return reached
 }
 
-// contactTargets returns an endpoint of each failure domain, a different one each time.
-func contactTargets(v *keelworld.View) []keelproxy.Target {
-	byDomain := map[keel.DomainName][]*keelworld.Endpoint{}
+// minContactTargets is the number of endpoints that show whether the instance reaches any, if there
+// are as many. One of them may be down.
+const minContactTargets = 3
+
+// contactTargets returns an endpoint of each failure domain, other ones each time, and further
+// endpoints if those are few. Endpoints with the ids in except are left out.
+func contactTargets(v *keelworld.View, except map[string]bool) []keelproxy.Target {
+	var all []*keelworld.Endpoint
 	for _, es := range v.Endpoints {
 		for i := range es {
-			byDomain[es[i].Domain] = append(byDomain[es[i].Domain], &es[i])
+			if !except[es[i].ID] {
+				all = append(all, &es[i])
+			}
 		}
 	}
-	var targets []keelproxy.Target
-	for _, es := range byDomain {
-		targets = append(targets, endpointTarget(es[rand.IntN(len(es))]))
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	domains := map[keel.DomainName]bool{}
+	var targets, others []keelproxy.Target
+	for _, e := range all {
+		if domains[e.Domain] {
+			others = append(others, endpointTarget(e))
+			continue
+		}
+		domains[e.Domain] = true
+		targets = append(targets, endpointTarget(e))
 	}
-	return targets
+	missing := max(minContactTargets-len(targets), 0)
+	return append(targets, others[:min(missing, len(others))]...)
 }
 
 // endpointTarget returns an endpoint as the target of a request.
--- a/keelentry/crashguard.go
+++ b/keelentry/crashguard.go
@@ -35,11 +35,15 @@
 // from [keelworld.MaxCrashes] crashes on, unless an endpoint answers a copy that is in
 // flight.
 //
-// A broken connection counts if the endpoint accepts no new one shortly after. Endpoints
-// with too many connections, and faulty ones, break connections without a crash.
+// A broken connection counts if the endpoint accepts no new one shortly after, and another
+// endpoint does. Endpoints with too many connections, and faulty ones, break connections without a
+// crash, and so does a partition.
 type crashGuard struct {
 	// probe opens a connection to an endpoint.
 	probe func(ctx context.Context, t keelproxy.Target) error
+	// reaches reports whether a connection to any endpoint but those with the given ids can
+	// be opened.
+	reaches func(ctx context.Context, except map[string]bool) bool
 	// wake has a value while broken is not empty.
 	wake chan struct{}
 
@@ -57,9 +61,9 @@
 	target keelproxy.Target
 }
 
-func newCrashGuard(probe func(ctx context.Context, t keelproxy.Target) error) *crashGuard {
+func newCrashGuard(probe func(context.Context, keelproxy.Target) error, reaches func(context.Context, map[string]bool) bool) *crashGuard {
 	return &crashGuard{
-		probe: probe, wake: make(chan struct{}, 1),
+		probe: probe, reaches: reaches, wake: make(chan struct{}, 1),
 		crashes: map[keelworld.Crash]time.Time{}, answered: map[uint64]time.Time{},
 	}
 }
@@ -96,21 +100,38 @@
 		s := start{b.crash.Endpoint, b.crash.Incarnation}
 		runs[s] = append(runs[s], b)
 	}
-	probes := pool.New().WithMaxGoroutines(maxProbes)
+	probes := pool.NewWithResults[[]brokenRun]().WithMaxGoroutines(maxProbes)
 	for _, all := range runs {
-		probes.Go(func() { g.probeEndpoint(ctx, all) })
+		probes.Go(func() []brokenRun {
+			if g.probeEndpoint(ctx, all[0].target) {
+				return nil
+			}
+			return all
+		})
+	}
+	var failed []brokenRun
+	except := map[string]bool{}
+	for _, all := range probes.Wait() {
+		failed = append(failed, all...)
+		for _, b := range all {
+			except[b.crash.Endpoint] = true
+		}
+	}
+	if len(failed) == 0 || ctx.Err() != nil {
+		return
+	}
+	// An instance that has lost its links to all endpoints shows nothing about any of them.
+	if len(except) < len(runs) || g.reaches(ctx, except) {
+		g.addCrashes(time.Now(), failed)
 	}
-	probes.Wait()
 }
 
-// probeEndpoint probes the endpoint at which all of the runs broke. The time limit is that of this
+// probeEndpoint reports whether an endpoint accepts a connection. The time limit is that of this
 // probe: it must not be used up by those before, of endpoints that hang.
-func (g *crashGuard) probeEndpoint(ctx context.Context, all []brokenRun) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (g *crashGuard) probeEndpoint(ctx context.Context, t keelproxy.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if g.probe(probeCtx, all[0].target) != nil && ctx.Err() == nil {
-		g.addCrashes(time.Now(), all)
-	}
+	return g.probe(ctx, t) == nil
 }
 
 func (g *crashGuard) addCrashes(now time.Time, all []brokenRun) {
--- a/keelentry/crashguard_test.go
+++ b/keelentry/crashguard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
@@ -33,10 +34,30 @@
 			}
 			return ctx.Err()
 		}
-		crashed := keelentry.CrashedEndpoints(t.Context(), probe, targets)
+		crashed := keelentry.CrashedEndpoints(t.Context(), probe, true, targets)
 		is.Equal(len(crashed), hanging)
 		for id := range crashed {
 			is.True(strings.HasPrefix(id, "hanging"))
 		}
 	})
 }
+
+// An instance loses its links to all endpoints, and its connections break. No endpoint has crashed, and
+// the requests that were in flight must not be blocked. If it reaches others, they have.
+func TestBrokenLinksAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	var targets []keelproxy.Target
+	for i := range 5 {
+		targets = append(targets, keelproxy.Target{ID: keel.EndpointID{Name: keel.EndpointName(fmt.Sprint(i))}})
+	}
+	refused := func(context.Context, keelproxy.Target) error { return syscall.ECONNREFUSED }
+	is.Equal(len(keelentry.CrashedEndpoints(t.Context(), refused, false, targets)), 0)
+	is.Equal(len(keelentry.CrashedEndpoints(t.Context(), refused, true, targets)), 5)
+	one := func(_ context.Context, t keelproxy.Target) error {
+		if t.ID.Name == "0" {
+			return nil
+		}
+		return syscall.ECONNREFUSED
+	}
+	is.Equal(len(keelentry.CrashedEndpoints(t.Context(), one, false, targets)), 4)
+}
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -76,9 +76,10 @@
 func NewRunner(cfg Config) *Runner {
 	rn := &Runner{
 		cfg: cfg, pools: map[keel.ServiceName]*keelplace.Pool{}, longestTimeout: map[string]time.Duration{},
-		crashes: newCrashGuard(cfg.Client.Probe), limits: newLimitReports(),
+		limits: newLimitReports(),
 	}
 	rn.contact = newContactGuard(rn)
+	rn.crashes = newCrashGuard(cfg.Client.Probe, rn.contact.reachesOthers)
 	return rn
 }
 
