keeladmit, keelplace: extreme rate limits don't overflow

An endpoint may name a limit such as 1e300, which is a valid number. The count of senders and the time of the burst were converted from floats beyond the range of integers; Go leaves the result to the machine: arm64 saturates, amd64 gives the smallest integer, with which one instance in place of all would send, or none. Rates beyond 1e6 count as that now. Found by reading.

--- a/keeladmit/endpoint.go
+++ b/keeladmit/endpoint.go
@@ -102,7 +102,7 @@
 // the only one that sends to it, and has the whole rate.
 func (q *Queue) Limit(now time.Time, id keel.EndpointID, perSecond float64) {
 	if e := q.find(id); e != nil {
-		e.perSecond = max(perSecond, MinRate)
+		e.perSecond = min(max(perSecond, MinRate), maxRate)
 		e.limiter.Limit(now, e.perSecond, LimitBurst(perSecond), 0)
 	}
 }
--- a/keeladmit/ratelimit.go
+++ b/keeladmit/ratelimit.go
@@ -6,6 +6,9 @@
 	// MinRate is the rate, in requests per second, that is used even where an endpoint
 	// accepts fewer: only an answer shows that it accepts more again.
 	MinRate = 0.1
+	// maxRate is the highest rate, in requests per second, that differs from no limit. It keeps
+	// times and counts within their ranges.
+	maxRate = 1e6
 	// rateBurst is added to the rate of one second to get the burst of [LimitBurst].
 	rateBurst = 3
 	// maxRateInterval limits the time between two requests.
@@ -14,7 +17,7 @@
 
 // LimitBurst returns how many requests in excess of a rate in requests per second all
 // instances together may send at once.
-func LimitBurst(perSecond float64) float64 { return perSecond + rateBurst }
+func LimitBurst(perSecond float64) float64 { return min(perSecond, maxRate) + rateBurst }
 
 // RateLimiter limits the rate of requests by the generic cell rate algorithm. The zero value
 // does not limit. It must be told the time, which may step back.
@@ -35,9 +38,9 @@
 func (l *RateLimiter) Limit(now time.Time, perSecond, burst, phase float64) {
 	interval := maxRateInterval
 	if perSecond > 0 {
-		interval = max(min(time.Duration(float64(time.Second)/perSecond), maxRateInterval), 1)
+		interval = time.Duration(min(float64(time.Second)/min(perSecond, maxRate), float64(maxRateInterval)))
 	}
-	burst = max(burst, 1)
+	burst = min(max(burst, 1), maxRate)
 	switch {
 	case l.interval == 0:
 		l.full = now.Add(time.Duration((burst - 1 + phase) * float64(interval)))
--- a/keeladmit/ratelimit_test.go
+++ b/keeladmit/ratelimit_test.go
@@ -142,3 +142,25 @@
 		is.Equal(fmt.Sprint(i, d.Action), fmt.Sprint(i, keeladmit.ActionStart))
 	}
 }
+
+// An endpoint names a rate beyond any use, or next to none. Neither overflows.
+func TestExtremeRates(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{1e7, 1e300, 1e308} {
+		var l keeladmit.RateLimiter
+		l.Limit(epoch, rate, keeladmit.LimitBurst(rate), 0.5)
+		now := epoch.Add(2 * time.Second)
+		for range 1000 {
+			is.Equal(l.Wait(now), time.Duration(0))
+			l.Take(now)
+		}
+		q := newQueue(4)
+		q.Limit(epoch, endpointID("p1"), rate)
+		slots, _ := q.Slots(epoch)
+		is.Equal(slots, 4)
+	}
+	var l keeladmit.RateLimiter
+	l.Limit(epoch, 1e-300, 1, 0)
+	l.Take(epoch)
+	is.True(l.Wait(epoch) > time.Minute)
+}
--- a/keelplace/ratelimit.go
+++ b/keelplace/ratelimit.go
@@ -85,7 +85,7 @@
 	l := &e.rateLimit
 	l.nodes = p.nodesVersion
 	burst := keeladmit.LimitBurst(l.perSecond)
-	senders := min(max(int(burst), 1), p.instancesNear(e))
+	senders := int(min(burst, float64(p.instancesNear(e))))
 	l.sends = p.isSender(e, senders)
 	if !l.sends {
 		l.limiter.Lift() // becomes a sender again without a burst
--- a/keelplace/ratelimit_test.go
+++ b/keelplace/ratelimit_test.go
@@ -222,3 +222,13 @@
 	}
 	is.True(longest > 5*time.Second)
 }
+
+// A rate beyond any use does not keep instances from sending.
+func TestExtremeRateLimit(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedSystem(1e300)
+	s.run(3 * time.Second)
+	start := s.now
+	s.run(time.Second)
+	is.True(len(s.since(start)) > 200)
+}
