keelentry: the last report of a lost or regained contact has the present state

What callers would see: an instance that look-ups leave out, and that is counted as isolated by all others, although it reaches its endpoints. One goroutine found the contact lost; before it had reported that, another one opened a connection and reported the contact as regained; then the first report went out last, and nothing corrected it.

Reports are made one after the other, with the state at that time. TestLastContactReport fails in a scratch copy in which the two make their reports as before.

--- a/keelentry/contactguard.go
+++ b/keelentry/contactguard.go
@@ -32,6 +32,11 @@
 
 	mu      sync.Mutex
 	contact *keelplace.Contact
+
+	// reportMu is held while a lost or regained contact is reported, so that the last report
+	// has the present state. reported is what it said.
+	reportMu sync.Mutex
+	reported bool
 }
 
 func newContactGuard(rn *Runner) *contactGuard {
@@ -75,19 +80,36 @@
 	regained := g.contact.Connected()
 	g.mu.Unlock()
 	if regained {
-		g.changed(time.Now(), false)
+		g.report()
+	}
+}
+
+// confirm records that no endpoint could be reached.
+func (g *contactGuard) confirm(timedOut bool) {
+	g.mu.Lock()
+	lost := g.contact.Confirm(time.Now(), timedOut)
+	g.mu.Unlock()
+	if lost {
+		g.report()
 	}
 }
 
-// changed applies a lost or a regained contact.
-func (g *contactGuard) changed(now time.Time, isolated bool) {
+// report applies the present state of the contact, if that is news.
+func (g *contactGuard) report() {
+	g.reportMu.Lock()
+	defer g.reportMu.Unlock()
+	isolated := g.isolated()
+	if isolated == g.reported {
+		return
+	}
+	g.reported = isolated
 	rn := g.runner
 	view := rn.cfg.View()
 	log := rn.cfg.Log.WithFields(logrus.Fields{"index": view.Index, "endpoints": countEndpoints(view)})
 	if isolated {
 		log.Warn("no endpoint can be reached, requests are relayed to other instances")
 	} else {
-		rn.regained(now)
+		rn.regained(time.Now())
 		log.Info("contact with endpoints regained")
 	}
 	if rn.cfg.Isolated != nil {
@@ -131,15 +153,8 @@
 		g.connected()
 		return
 	}
-	if ctx.Err() != nil {
-		return
-	}
-	now := time.Now()
-	g.mu.Lock()
-	lost := g.contact.Confirm(now, timedOut)
-	g.mu.Unlock()
-	if lost {
-		g.changed(now, true)
+	if ctx.Err() == nil {
+		g.confirm(timedOut)
 	}
 }
 
--- a/keelentry/export_test.go
+++ b/keelentry/export_test.go
@@ -25,3 +25,6 @@
 	}
 	return crashed
 }
+
+// LoseContact makes the runner find that it reaches no endpoint.
+func LoseContact(rn *Runner) { rn.contact.confirm(false) }
