keelproxy: answers with a malformed status line are refused

Cause: fasthttp reports the status 000 as 200, takes 001 to 099 for those of interim answers, and accepts 600 to 999, other major versions, control bytes and line feeds alone. Callers got an answer with status 000 as a success ("steer" and "serve", there also behind another instance); after 001 to 099 they waited until their deadline.

Change: before fasthttp parses an answer, its status line is checked by RFC 9112, section 4, and RFC 9110, section 15, at the one place that reads answers of endpoints and of relays (endpointConn.readHeader). A refused answer ends like one that broke off: the request may have run (502, retried only if idempotent), and the connection is closed.

The space before an empty reason may be missing, as before. Two spaces before the status and empty lines before the status line are refused now.

--- a/keelinstance/faults_test.go
+++ b/keelinstance/faults_test.go
@@ -31,6 +31,7 @@
 		{"endpoint declares more than it sends", faultyAnswers("short", keelstandin.Behaviour{WrongLengthBy: 50, CloseMidBody: true}, true)},
 		{"endpoint sends more than it declares", faultyAnswers("long", keelstandin.Behaviour{WrongLengthBy: -50}, false)},
 		{"endpoint closes in mid-body", faultyAnswers("closed", keelstandin.Behaviour{CloseMidBody: true}, true)},
+		{"endpoint answers with status 000", faultyAnswers("status", keelstandin.Behaviour{StatusLine: "HTTP/1.1 000 Oops"}, true)},
 		{"endpoint stalls without closing", endpointsStall},
 		{"caller disconnects in mid-answer", callerGone},
 		{"reply is lost", replyLost},
--- /dev/null
+++ b/keelproxy/answerheader.go
@@ -0,0 +1,85 @@
+package keelproxy
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+var errStatusLine = errors.New("malformed status line")
+
+// checkHeader checks the header of an answer at the start of r, without consuming it.
+// fasthttp parses it afterwards, and is more tolerant than RFC 9112, section 2.2, permits
+// a gateway to be: it passes on what other recipients read in another way. Each line is
+// checked as soon as it is complete, since the rest of a malformed header may never come.
+func checkHeader(r *bufio.Reader) error {
+	line, err := peekLine(r, 0)
+	if err != nil {
+		return err
+	}
+	return checkStatusLine(line)
+}
+
+// peekLine returns the line at an offset in r, without its line end and without consuming
+// it. A line feed without a carriage return is no line end: what follows it would be read
+// as a line of its own here and as part of this one elsewhere.
+func peekLine(r *bufio.Reader, offset int) ([]byte, error) {
+	for searched := offset; ; {
+		b, _ := r.Peek(r.Buffered()) // never fails, since these bytes are buffered
+		if i := bytes.IndexByte(b[searched:], '\n'); i >= 0 {
+			line, ok := bytes.CutSuffix(b[offset:searched+i], []byte("\r"))
+			if !ok {
+				return nil, errors.New("a line of the header ends without a carriage return")
+			}
+			return line, nil
+		}
+		searched = len(b)
+		if _, err := r.Peek(searched + 1); err != nil {
+			return nil, headerEnd(err, searched)
+		}
+	}
+}
+
+// headerEnd returns the error of a header that ends early, after size bytes.
+func headerEnd(err error, size int) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return errors.Errorf("the header exceeds %d bytes", size)
+	case errors.Is(err, io.EOF) && size > 0:
+		return io.ErrUnexpectedEOF
+	}
+	return redactError(err)
+}
+
+// checkStatusLine checks the first line of an answer: RFC 9112, section 4. The space
+// before an empty reason may be missing, as many servers omit it.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) || !isStatus(status) || !isFieldContent(reason) {
+		return errStatusLine
+	}
+	return nil
+}
+
+// isStatus reports whether b is a status code: RFC 9110, section 15. fasthttp reports 000
+// as 200, and other codes below 200 as those of interim answers.
+func isStatus(b []byte) bool {
+	return len(b) == 3 && b[0] >= '1' && b[0] <= '5' && isDigit(b[1]) && isDigit(b[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// isFieldContent reports whether b has no control byte other than the tab, as the value of
+// a field and the reason of a status line.
+func isFieldContent(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/keelproxy/answerread.go
+++ b/keelproxy/answerread.go
@@ -71,6 +71,9 @@
 // opens a body with a length; other bodies are read by [endpointConn.bodyReader].
 func (conn *endpointConn) readHeader(resp *fasthttp.Response) error {
 	for range maxInterimAnswers + 1 {
+		if err := checkHeader(conn.r); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(conn.r); err != nil {
 			return redactError(err)
 		}
--- a/keelstandin/behaviour.go
+++ b/keelstandin/behaviour.go
@@ -22,6 +22,8 @@
 	WrongLengthBy int `json:"wrong_length_by,omitempty"`
 	// CloseMidBody closes the connection after half of the answer's body.
 	CloseMidBody bool `json:"close_mid_body,omitempty"`
+	// StatusLine replaces the status line of every answer, and need not be valid.
+	StatusLine string `json:"status_line,omitempty"`
 	// Stall reads requests but sends no answer and keeps the connection open.
 	Stall bool `json:"stall,omitempty"`
 	// Shed answers every request with 503 without running it.
@@ -59,5 +61,5 @@
 // needsRawConn reports whether answers have to be written to the connection
 // directly, since the HTTP library can't produce them.
 func (b *Behaviour) needsRawConn() bool {
-	return b.AnswerTwice || b.CloseMidBody || b.Stall || b.WrongLengthBy != 0
+	return b.AnswerTwice || b.CloseMidBody || b.Stall || b.WrongLengthBy != 0 || b.StatusLine != ""
 }
