keelproxy: a close-delimited answer is cut if the upload's connection failed

Cause: callers of "steer" got a part of an answer as a complete one. An endpoint answered a long upload early and without a length, sent a part of the body and reset the connection while the upload was still being written. The kernel reports a reset once: the write got the error, and reads after it found the end of the connection, as after an orderly close, which ends an answer without a length.

Change: a failed write is noted (countingWriter), and the body of a close-delimited answer on such a connection ends with io.ErrUnexpectedEOF. Its header is used as before, so that a refusal of the endpoint still counts. A buffered answer becomes a 502, a streamed one breaks off, and the connection is not used again. Answers with a length or chunks show their end by themselves. "serve" accepts no answers without either.

TestAnswerEndsBeforeUpload, an orderly end of the answer before that of the upload, passed before and passes now.

--- a/keelproxy/endpointanswer.go
+++ b/keelproxy/endpointanswer.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -42,6 +43,8 @@
 // close-delimited body is read from the connection directly.
 func (conn *endpointConn) bodyReader(resp *fasthttp.Response) io.Reader {
 	switch s := resp.BodyStream(); {
+	case closeDelimited(resp) && conn.writeFailed:
+		return cutReader{conn.r}
 	case closeDelimited(resp):
 		return conn.r
 	case chunked(resp):
@@ -52,6 +55,19 @@
 	return eofReader{}
 }
 
+// cutReader reads a close-delimited body from a connection that failed while the request
+// was written. The kernel reports a reset once, to that write, so that the end of the
+// connection doesn't show whether the endpoint sent the whole body.
+type cutReader struct{ r io.Reader }
+
+func (c cutReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 type eofReader struct{}
 
 func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -30,8 +30,9 @@
 	// sent counts the bytes of the current request that were written to the
 	// socket.
 	sent atomic.Int64
-	// requestSent is set when the current request was sent completely.
-	requestSent bool
+	// requestSent is set when the current request was sent completely, and writeFailed
+	// when writing it to the socket failed.
+	requestSent, writeFailed bool
 	// reused is set while the connection carries another request than its first.
 	reused bool
 	// carried are the ids of the requests that the connection carried last.
@@ -73,6 +74,9 @@
 	n, err := s.conn.nc.Write(b)
 	s.conn.steps.Add(1)
 	s.conn.sent.Add(int64(n))
+	if err != nil {
+		s.conn.writeFailed = true
+	}
 	s.conn.client.cfg.Traffic.addSent(n)
 	return n, err
 }
@@ -101,6 +105,7 @@
 // must close the connection.
 func (conn *endpointConn) exchange(ctx context.Context, r *Request) (*Answer, error) {
 	conn.sent.Store(0)
+	conn.writeFailed = false
 	if err := conn.nc.SetDeadline(r.Deadline); err != nil {
 		return nil, errors.Wrap(err, "set deadline")
 	}
