keelproxy: answers whose body ends ambiguously are refused

Callers got the chunk sizes as a part of the body, or a body that another recipient would end elsewhere.

Change: checkHeader refuses an answer with an encoding and a length, and one with an encoding in another version, as RFC 9112, section 6.1, asks for.

--- a/keelproxy/answerheader.go
+++ b/keelproxy/answerheader.go
@@ -15,6 +15,7 @@
 	errLineEnd    = errors.New("a line of the header ends without a carriage return")
 	errStatusLine = errors.New("malformed status line")
 	errField      = errors.New("malformed header field")
+	errFraming    = errors.New("the end of the body is ambiguous")
 )
 
 // checkHeader checks the header of an answer at the start of r, without consuming it.
@@ -29,17 +30,45 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
+	framing := framingFields{http11: bytes.HasPrefix(line, []byte("HTTP/1.1"))}
 	for offset := 0; ; {
 		offset += len(line) + len(lineEnd)
-		if line, err = peekLine(r, offset); err != nil || len(line) == 0 {
+		if line, err = peekLine(r, offset); err != nil {
 			return err
 		}
-		if !isField(line) {
+		if len(line) == 0 {
+			return framing.check()
+		}
+		name, ok := fieldName(line)
+		if !ok {
 			return errField
 		}
+		framing.add(name)
+	}
+}
+
+// framingFields are the fields of a header that say where the body ends.
+type framingFields struct{ http11, length, encoding bool }
+
+func (f *framingFields) add(name []byte) {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		f.length = true
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.encoding = true
 	}
 }
 
+// check returns an error if recipients may disagree on the end of the body: RFC 9112,
+// section 6.1. fasthttp ignores the encoding in other versions than HTTP/1.1, and the
+// length beside an encoding.
+func (f *framingFields) check() error {
+	if f.encoding && (f.length || !f.http11) {
+		return errFraming
+	}
+	return nil
+}
+
 // peekLine returns the line at an offset in r, without its line end and without consuming
 // it. A line feed without a carriage return is no line end: what follows it would be read
 // as a line of its own here and as part of this one elsewhere.
@@ -91,11 +120,12 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// isField reports whether a line is a field: RFC 9112, section 5. It isn't if its name
-// holds or is followed by a blank, nor if it continues the line before it.
-func isField(line []byte) bool {
+// fieldName returns the name of the field in a line, and false if the line is no field: RFC
+// 9112, section 5. It isn't if its name holds or is followed by a blank, nor if it continues
+// the line before it.
+func fieldName(line []byte) ([]byte, bool) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	return found && isToken(name) && isFieldContent(value)
+	return name, found && isToken(name) && isFieldContent(value)
 }
 
 // isToken reports whether b is a token: RFC 9110, section 5.6.2.
