keelproxy: a malformed trailer breaks a chunked answer off

The trailer of a chunked answer could end with a line feed alone or two carriage returns, and hold lines that are no fields. Callers got the answer as complete although its end was in doubt.

Change: the lines of the trailer, which is dropped, are checked like those of the header. The sizes and ends of chunks are checked by httputil already.

Result: TestMalformedTrailer failed in 9 of 10 cases, and passes now. TestMalformedChunks (10 cases) passed before.

--- a/keelproxy/chunked.go
+++ b/keelproxy/chunked.go
@@ -58,11 +58,11 @@
 			return err
 		}
 		size += len(line)
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
+		line, ok := bytes.CutSuffix(line, []byte(lineEnd))
+		if ok && len(line) == 0 {
 			return io.EOF
 		}
-		if bytes.IndexByte(line, ':') <= 0 {
+		if _, valid := fieldName(line); !ok || !valid {
 			return errMalformed
 		}
 	}
