keelproxy: malformed answers of other instances are refused

Cause: found while checking the other places that read answers. An instance of an earlier version passes on what its endpoint client does not check; the instance that forwarded the request to it accepted each status from 100 to 999 and any fields. While both versions run side by side, callers of "serve" could get such an answer.

Change: the answer of another instance must have the status of a final answer and well-formed fields. The request may have run otherwise. What is sent between instances has not changed.

--- a/keelproxy/answerheader.go
+++ b/keelproxy/answerheader.go
@@ -4,12 +4,19 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/go-faster/errors"
+	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/valyala/fasthttp"
 )
 
-// lineEnd ends each line of a header.
-const lineEnd = "\r\n"
+const (
+	// lineEnd ends each line of a header.
+	lineEnd = "\r\n"
+	// maxStatus is the highest status: RFC 9110, section 15.
+	maxStatus = 599
+)
 
 var (
 	errLineEnd    = errors.New("a line of the header ends without a carriage return")
@@ -69,6 +76,21 @@
 	return nil
 }
 
+// Check reports a status that is not that of a final answer, and malformed fields. Instances
+// of earlier versions pass such answers on.
+func (a *Answer) Check() keel.Faults {
+	var fs keel.Faults
+	if a.Status < fasthttp.StatusOK || a.Status > maxStatus {
+		fs.Add("status", "is %d, must lie between %d and %d", a.Status, fasthttp.StatusOK, maxStatus)
+	}
+	for i, f := range a.Header {
+		if !isToken([]byte(f.Name)) || !isFieldContent([]byte(f.Value)) {
+			fs.Add("header["+strconv.Itoa(i)+"]", "is malformed")
+		}
+	}
+	return fs
+}
+
 // peekLine returns the line at an offset in r, without its line end and without consuming
 // it. A line feed without a carriage return is no line end: what follows it would be read
 // as a line of its own here and as part of this one elsewhere.
--- a/keelproxy/forward.go
+++ b/keelproxy/forward.go
@@ -50,17 +50,14 @@
 	NoBody bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Check reports the faults of the refusal, or an invalid status if there is none.
+// Check reports the faults of the refusal, or those of the answer if there is none.
 func (h *answerHead) Check() keel.Faults {
 	var fs keel.Faults
 	if h.Refusal != nil {
 		fs.Under("refusal", h.Refusal.Check())
 		return fs
 	}
-	if h.Status < 100 || h.Status > 999 {
-		fs.Add("status", "is %d, must have three digits", h.Status)
-	}
-	return fs
+	return (&Answer{Status: h.Status, Header: h.Header}).Check()
 }
 
 // Forwarder sends requests to other instances.
