keelsteer: malformed recorded answers are refused

Cause: found while checking the other places that read answers. The recorded answer of an at-most-once request may come from an instance of an earlier version, which recorded what it got from its endpoint. A caller that sent the request again got it as it was.

Change: such an answer is refused with the verdict "ran". The records, and the messages that carry them, are decoded as before, so that both versions read each other's.

The world of the engine tests takes a service of claims; no check changed.

--- a/keelsteer/engine_test.go
+++ b/keelsteer/engine_test.go
@@ -41,6 +41,8 @@
 	// endpoints.
 	idle    []string
 	leaving map[keel.InstanceName]bool
+	// claims are those of the engines; nil means that there are none.
+	claims *keelclaim.Service
 	// endpoint is the address of the endpoints, and farSlots are the slots that the
 	// domain far reports for each service.
 	endpoint netip.AddrPort
@@ -170,12 +172,16 @@
 		}
 	}
 	clock := clockwork.NewFakeClock()
-	return keelsteer.New(keelsteer.Config{
-		Self: self, Declared: func() *keeldeclare.Snapshot { return snapshot }, View: w.view, Endpoints: endpoints, Transport: tr,
-		Claims: keelclaim.New(keelclaim.Config{
+	claims := w.claims
+	if claims == nil {
+		claims = keelclaim.New(keelclaim.Config{
 			Self: self, Transport: tr, Clock: clock, Log: w.log, Secret: []byte("secret"), Domains: func() []keel.DomainName { return nil },
 			Holders: func(keel.DomainName) []keelclaim.Set { return nil },
-		}),
+		})
+	}
+	return keelsteer.New(keelsteer.Config{
+		Self: self, Declared: func() *keeldeclare.Snapshot { return snapshot }, View: w.view, Endpoints: endpoints, Transport: tr,
+		Claims: claims,
 		Guard: keelguard.New(keelguard.Config{
 			Self: self, Transport: tr, Clock: clock, Log: w.log,
 			Peers: func() []keel.InstanceName { return nil }, Homes: func() []keel.InstanceName { return nil },
--- a/keelsteer/keyed.go
+++ b/keelsteer/keyed.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	if recorded, ok := grant.Answer(); ok {
-		return replay(recorded), nil
+		return replay(recorded)
 	}
 	k := &keyedRun{e: e, ctx: ctx, grant: grant}
 	return k.run(p, sel, r)
@@ -106,8 +106,9 @@
 	return keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "the body of an at-most-once request has more than %d bytes", limit)
 }
 
-// replay returns a recorded answer as an answer to the caller.
-func replay(a *keelclaim.Answer) *keelproxy.Answer {
+// replay returns a recorded answer as an answer to the caller. One that is malformed was
+// recorded by an instance of an earlier version, and is refused.
+func replay(a *keelclaim.Answer) (*keelproxy.Answer, error) {
 	out := &keelproxy.Answer{
 		Status:        a.Status,
 		ContentLength: int64(len(a.Body)),
@@ -116,7 +117,10 @@
 	for _, f := range a.Header {
 		out.Header = append(out.Header, keelproxy.Field{Name: f.Name, Value: f.Value})
 	}
-	return out
+	if len(out.Check()) > 0 {
+		return nil, keel.Refuse(keel.Ran, keel.ReasonDuplicate, 0, "a request with this key ran already; its recorded answer is malformed")
+	}
+	return out, nil
 }
 
 // keyedRun is the single run of a request whose key is claimed.
