keelheader: checks of the headers of answers, in a package of their own

Cause: the calls between instances and those of the command line read answers, too, in packages that can't use keelproxy or have no reader of their own.

Change: moved from keelproxy without a change of what is refused, with one type of error, which the redaction of parsers' errors passes on.

--- a/keelproxy/answerread.go
+++ b/keelproxy/answerread.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"github.com/go-faster/errors"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 	"github.com/valyala/fasthttp"
 )
 
@@ -71,8 +72,8 @@
 // opens a body with a length; other bodies are read by [endpointConn.bodyReader].
 func (conn *endpointConn) readHeader(resp *fasthttp.Response) error {
 	for range maxInterimAnswers + 1 {
-		if err := checkHeader(conn.r); err != nil {
-			return err
+		if err := keelheader.CheckAnswer(conn.r); err != nil {
+			return redactError(err)
 		}
 		if err := resp.Header.Read(conn.r); err != nil {
 			return redactError(err)
--- a/keelproxy/chunked.go
+++ b/keelproxy/chunked.go
@@ -7,6 +7,7 @@
 	"net/http/httputil"
 
 	"github.com/go-faster/errors"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 	"github.com/valyala/fasthttp"
 )
 
@@ -58,11 +59,11 @@
 			return err
 		}
 		size += len(line)
-		line, ok := bytes.CutSuffix(line, []byte(lineEnd))
+		line, ok := bytes.CutSuffix(line, []byte(keelheader.LineEnd))
 		if ok && len(line) == 0 {
 			return io.EOF
 		}
-		if _, valid := fieldName(line); !ok || !valid {
+		if _, valid := keelheader.FieldName(line); !ok || !valid {
 			return errMalformed
 		}
 	}
--- a/keelproxy/redact.go
+++ b/keelproxy/redact.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/go-faster/errors"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 	"github.com/valyala/fasthttp"
 )
 
@@ -30,6 +31,10 @@
 	if errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &network) && network.Timeout() {
 		return os.ErrDeadlineExceeded
 	}
+	var header keelheader.Error
+	if errors.As(err, &header) {
+		return header
+	}
 	var errno syscall.Errno
 	if errors.As(err, &errno) {
 		return errno
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -13,11 +13,14 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 )
 
 // Header fields that the system reads and writes.
@@ -176,6 +179,21 @@
 	Notice Notice
 }
 
+// Check reports a status that is not that of a final answer, and malformed fields. Instances
+// of earlier versions pass such answers on.
+func (a *Answer) Check() keel.Faults {
+	var fs keel.Faults
+	if a.Status < http.StatusOK || a.Status > keelheader.MaxStatus {
+		fs.Add("status", "is %d, must lie between %d and %d", a.Status, http.StatusOK, keelheader.MaxStatus)
+	}
+	for i, f := range a.Header {
+		if !keelheader.IsToken([]byte(f.Name)) || !keelheader.IsFieldContent([]byte(f.Value)) {
+			fs.Add("header["+strconv.Itoa(i)+"]", "is malformed")
+		}
+	}
+	return fs
+}
+
 // Runner runs requests.
 type Runner interface {
 	// RunRequest returns either an answer or an error. [keel.VerdictOf] returns
