keelpeer: malformed answers to calls over TCP are refused

Cause: found while checking the other places that read answers. The polls of entry instances with seeds are HTTP requests, whose answers fasthttp reads as tolerantly as those of endpoints: one with status 000 was a success, and connections were used again after answers with the status 600 or a malformed field.

Change: the client's connection checks the header of each answer. The call fails with an unknown outcome, and its connection is closed.

--- a/keelpeer/callclient.go
+++ b/keelpeer/callclient.go
@@ -1,6 +1,7 @@
 package keelpeer
 
 import (
+	"bufio"
 	"context"
 	"maps"
 	"net"
@@ -11,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 	"github.com/greengagekeel/greengagekeel/keelkey"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -188,7 +190,7 @@
 // track makes the client close a new connection with itself. It closes the connection at
 // once if the client is closed already.
 func (c *CallClient) track(nc net.Conn) (net.Conn, error) {
-	tracked := &callConn{Conn: nc, client: c}
+	tracked := &callConn{Conn: nc, client: c, r: bufio.NewReader(nc)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
@@ -199,10 +201,31 @@
 	return tracked, nil
 }
 
-// callConn is a connection that its client closes with itself.
+// callConn is a connection that its client closes with itself. It carries one call at a time,
+// and checks the header of each answer.
 type callConn struct {
 	net.Conn
 	client *CallClient
+	r      *bufio.Reader
+	// headerDue is set from the first byte of a request to the header of its answer.
+	headerDue bool
+}
+
+// Write writes a part of a request.
+func (cc *callConn) Write(p []byte) (int, error) {
+	cc.headerDue = true
+	return cc.Conn.Write(p)
+}
+
+// Read reads a part of an answer.
+func (cc *callConn) Read(p []byte) (int, error) {
+	if cc.headerDue {
+		if err := keelheader.CheckAnswer(cc.r); err != nil {
+			return 0, err
+		}
+		cc.headerDue = false
+	}
+	return cc.r.Read(p)
 }
 
 // Close closes the connection.
