keeloperate, keelsteer: malformed answers to the command line are refused

Cause: found while checking the other places that read answers. net/http accepts any status of three digits, any version and blanks in the names of fields. "apply" took an answer with status 000 for the outcome of its change, one with status 600 for a refusal that the change was not made, and a dump could be any bytes.

Change: calls of operators and look-ups check the header of their answer (keelheader.Do) and fail with an unknown outcome, and a dump must be JSON.

--- a/keelheader/answer.go
+++ b/keelheader/answer.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 
 	"github.com/go-faster/errors"
 )
@@ -61,20 +60,6 @@
 	}
 }
 
-// CheckResponse checks what net/http lets through in the header of an answer. The error is an
-// [Error]. Folded lines and the framing are as RFC 9112 permits a client to read them.
-func CheckResponse(resp *http.Response) error {
-	if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue || resp.StatusCode > MaxStatus {
-		return ErrStatusLine
-	}
-	for name := range resp.Header {
-		if !IsToken([]byte(name)) {
-			return ErrField
-		}
-	}
-	return nil
-}
-
 // peekLine returns the line at an offset in r, without its line end and without consuming
 // it. A line feed without a carriage return is no line end: what follows it would be read
 // as a line of its own here and as part of this one elsewhere.
--- a/keeloperate/client.go
+++ b/keeloperate/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 )
 
 // Client calls the operator port of one instance.
@@ -123,7 +124,7 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	resp, err := client.Do(req)
+	resp, err := keelheader.Do(client, req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "call operator port %s", c.Address)
 	}
@@ -133,6 +134,9 @@
 		return nil, errors.Wrapf(err, "read answer of operator port %s", c.Address)
 	}
 	if out == nil && resp.StatusCode < http.StatusBadRequest {
+		if !json.Valid(data) {
+			return nil, errors.Errorf("answer of operator port %s is not JSON", c.Address)
+		}
 		return data, nil
 	}
 	if out != nil && hasResult(resp.StatusCode, out) {
--- a/keelsteer/lookupclient.go
+++ b/keelsteer/lookupclient.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelheader"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
 )
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := keelheader.Do(http.DefaultClient, req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "look up at %s", addr)
 	}
