--- a/keelheader/response.go
+++ b/keelheader/response.go
@@ -1,8 +1,6 @@
 package keelheader
 
-import (
-	"net/http"
-)
+import "net/http"
 
 // Do sends a request with an HTTP client and checks the header of its answer. The error is
 // that of the client or an [Error]; the request may have run then.
@@ -20,7 +18,8 @@
 }
 
 // CheckResponse checks what net/http lets through in the header of an answer. The error is an
-// [Error]. Folded lines and the framing are as RFC 9112 permits a client to read them.
+// [Error]. Line ends, folded lines and the framing are not checked: net/http reads them as RFC
+// 9112 permits a client that passes nothing on.
 func CheckResponse(resp *http.Response) error {
 	if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue || resp.StatusCode > MaxStatus {
 		return ErrStatusLine
