keelmember: member lists are not requested from oneself

Cause: an instance chose the member to request a list from among all live ones, with itself, and a message to the own address is not sent. With one other member known, every second request was lost, and the next one follows after 30 s. If the seeds that an instance chose knew not all members yet, and both sides chose themselves, they stayed strangers so long.

Change: the instance itself is left out of the choice.

--- a/keelmember/core_test.go
+++ b/keelmember/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -58,6 +59,32 @@
 	}
 }
 
+// TestJoinTogether starts the instances of a domain at once, each with the earlier ones as
+// seeds. All of them must know each other after the first exchange of member lists, which
+// follows the addition of a member within 3 seconds, and two rounds of heartbeats, even if
+// the seeds that they chose at random did not know all of them.
+func TestJoinTogether(t *testing.T) {
+	const seeds = 2000
+	for _, size := range []int{2, 3} {
+		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				s := newSim(seed, 0, 0)
+				var join []netip.AddrPort
+				for i := range size {
+					s.addWithSeeds(instance(0, i, 1), join)
+					join = append(join, peerAddr(0, i))
+				}
+				s.run(6 * second)
+				for _, n := range s.nodes {
+					if known := len(n.core.View().Members(n.inst.Domain)); known != size {
+						t.Errorf("seed %d: %s knows %d of %d members", seed, n.inst.Name, known, size)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestSilentMember(t *testing.T) {
 	is := is.New(t)
 	s := newSim(2, 2, 4)
--- a/keelmember/hello.go
+++ b/keelmember/hello.go
@@ -67,11 +67,11 @@
 	}
 }
 
-// sendSyncHello requests the member list of one live member of the own domain.
+// sendSyncHello requests the member list of another live member of the own domain.
 func (c *Core) sendSyncHello() {
-	names := c.liveNames()
-	if len(names) > 0 {
-		c.sendHello(c.peerOf(names[c.rand.IntN(len(names))]))
+	others := slices.DeleteFunc(c.liveNames(), func(name keel.InstanceName) bool { return name == c.self.Name })
+	if len(others) > 0 {
+		c.sendHello(c.peerOf(others[c.rand.IntN(len(others))]))
 	}
 }
 
--- a/keelmember/sim_test.go
+++ b/keelmember/sim_test.go
@@ -86,12 +86,13 @@
 }
 
 func (s *sim) add(in keel.Instance) *node {
+	return s.addWithSeeds(in, []netip.AddrPort{peerAddr(0, 0), peerAddr(1, 0)})
+}
+
+// addWithSeeds adds an instance that joins by the given peer addresses.
+func (s *sim) addWithSeeds(in keel.Instance, join []netip.AddrPort) *node {
 	n := &node{inst: in}
-	n.core = keelmember.NewCore(keelmember.CoreConfig{
-		Self: in,
-		Join: []netip.AddrPort{peerAddr(0, 0), peerAddr(1, 0)},
-		Seed: s.rand.Uint64(),
-	}, s.now)
+	n.core = keelmember.NewCore(keelmember.CoreConfig{Self: in, Join: join, Seed: s.rand.Uint64()}, s.now)
 	s.nodes = append(s.nodes, n)
 	s.byPeer[in.Peer] = append(s.byPeer[in.Peer], n)
 	return n
