keelmember: an instance does not choose itself among its seeds

Joining took another second; a group that had lost the others tried to reach them every other time only.

Change: the own address is left out of the seeds.

TestOwnAddressAmongSeeds failed on the code before (no hello at the start) and passes.

--- a/keelmember/core.go
+++ b/keelmember/core.go
@@ -104,7 +104,8 @@
 // CoreConfig is the configuration of a [Core].
 type CoreConfig struct {
 	Self keel.Instance
-	// Join lists the peer addresses of seeds, which are asked for other instances.
+	// Join lists the peer addresses of seeds, which are asked for other instances. The
+	// instance's own address is ignored.
 	Join []netip.AddrPort
 	// Seed is the seed of the random number generator.
 	Seed uint64
@@ -176,6 +177,8 @@
 
 // NewCore returns a core whose only member is the instance itself.
 func NewCore(cfg CoreConfig, now time.Time) *Core {
+	isSelf := func(a netip.AddrPort) bool { return a == cfg.Self.Peer }
+	cfg.Join = slices.DeleteFunc(slices.Clone(cfg.Join), isSelf)
 	c := &Core{
 		cfg:         cfg,
 		self:        cfg.Self,
--- a/keelmember/core_test.go
+++ b/keelmember/core_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// TestOwnAddressAmongSeeds checks that an instance whose own address is among its seeds
+// asks another one.
+func TestOwnAddressAmongSeeds(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		in := instance(0, 0, 1)
+		c := keelmember.NewCore(keelmember.CoreConfig{
+			Self: in, Join: []netip.AddrPort{in.Peer, peerAddr(0, 1)}, Seed: seed,
+		}, start)
+		sends := c.Tick(start, keelmember.Local{}).Sends
+		is.True(len(sends) > 0)
+		for _, m := range sends {
+			is.Equal(m.To, peerAddr(0, 1))
+		}
+	}
+}
+
 func TestSilentMember(t *testing.T) {
 	is := is.New(t)
 	s := newSim(2, 2, 4)
