keelinstance: a process without descriptors goes on serving

Callers saw: an instance of serve ended, with all its requests, when callers had opened as many connections as the process may have descriptors.

Cause: an error of accept(2) for lack of descriptors was taken for the end of the listener, and the end of one port ends the instance. steer already waits.

Change: the three TCP ports of an instance wait while descriptors are short.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -108,7 +108,7 @@
 			in.Close()
 			return errors.Wrapf(err, "%s", p.name)
 		}
-		*p.ln = ln
+		*p.ln = keelpeer.AcceptRetrier{Listener: ln}
 	}
 	return nil
 }
