keelmemory, keelconfig: serve collects garbage by the memory that it may use

Cause: above the soft limit of 40 MiB there was none, so that the heap of an instance of serve grew to twice its live size, however little memory it had.

Change: the setting memory.limit_bytes (128 MiB) names the memory of the process. While the live heap is too large for the soft limit, 70 percent of it are the limit of the runtime, as with memory_mb of steer.

--- a/keelcommand/serve.go
+++ b/keelcommand/serve.go
@@ -53,7 +53,7 @@
 			return fail(ExitFailed, err, "check the folder of --addresses")
 		}
 	}
-	return runInstance(ctx, in, settings.Memory.SoftLimitBytes, log)
+	return runInstance(ctx, in, settings.Memory, log)
 }
 
 func newLogger(s *keelconfig.Settings, stderr io.Writer) (*logrus.Logger, error) {
@@ -78,7 +78,7 @@
 
 // runInstance runs an instance until it has left gracefully after a first signal,
 // or was stopped at once by a second one.
-func runInstance(ctx context.Context, in *keelinstance.Instance, softLimit int64, log *logrus.Logger) error {
+func runInstance(ctx context.Context, in *keelinstance.Instance, m keelconfig.Memory, log *logrus.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -87,7 +87,7 @@
 	s := &gracefulStop{in: in, log: log, signals: signals, cancel: cancel}
 	var group conc.WaitGroup
 	group.Go(func() { s.run(ctx) })
-	memory := keelmemory.NewLimitController(softLimit)
+	memory := keelmemory.NewLimitController(m.SoftLimitBytes, m.LimitBytes*softMemoryPercent/100)
 	group.Go(func() { _ = memory.Run(ctx) })
 	err := in.Run(ctx)
 	cancel()
--- a/keelconfig/check.go
+++ b/keelconfig/check.go
@@ -18,6 +18,8 @@
 	maxVoters         = 7
 	minSoftLimitBytes = 16 << 20
 	maxSoftLimitBytes = 1 << 40
+	minLimitBytes     = 64 << 20
+	maxLimitBytes     = 1 << 40
 
 	minHeartbeat = keel.Duration(50 * time.Millisecond)
 	maxHeartbeat = keel.Duration(time.Minute)
@@ -150,6 +152,7 @@
 	if m.SoftLimitBytes != 0 {
 		checkRange(&fs, "soft_limit_bytes", m.SoftLimitBytes, minSoftLimitBytes, maxSoftLimitBytes)
 	}
+	checkRange(&fs, "limit_bytes", m.LimitBytes, minLimitBytes, maxLimitBytes)
 	return fs
 }
 
--- a/keelconfig/settings.go
+++ b/keelconfig/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 )
 
 // Settings is the configuration that one instance needs before it has contact
@@ -104,6 +105,9 @@
 	// without the pages of the executable file. It is not applied while the
 	// live heap is too large for it; 0 means no limit.
 	SoftLimitBytes int64 `json:"soft_limit_bytes"`
+	// LimitBytes is the memory that the process may use. A part of it limits what
+	// callers hold.
+	LimitBytes int64 `json:"limit_bytes,omitempty"`
 }
 
 // Default returns the values of fields that a settings file leaves out.
@@ -122,7 +126,7 @@
 			StopGrace: keel.Duration(10 * time.Minute),
 			BodyIdle:  keel.Duration(30 * time.Second),
 		},
-		Memory: Memory{SoftLimitBytes: 40 << 20},
+		Memory: Memory{SoftLimitBytes: 40 << 20, LimitBytes: keelbudget.DefaultMemory},
 	}
 }
 
--- a/keelmemory/limit.go
+++ b/keelmemory/limit.go
@@ -56,16 +56,18 @@
 // safe for concurrent use.
 type LimitController struct {
 	softLimit int64
-	pause     time.Duration
+	// further are limits that apply while the live heap is too large for softLimit.
+	further []int64
+	pause   time.Duration
 	// pauseStart is when the process last had enough headroom or its garbage was
 	// last collected explicitly.
 	pauseStart time.Time
 }
 
 // NewLimitController returns a controller for a soft limit in bytes; 0 means no
-// limit.
-func NewLimitController(soft int64) *LimitController {
-	return &LimitController{softLimit: soft, pause: minCollectPause}
+// limit. Further limits, in rising order, apply while the live heap is too large for it.
+func NewLimitController(soft int64, further ...int64) *LimitController {
+	return &LimitController{softLimit: soft, further: further, pause: minCollectPause}
 }
 
 // Step returns the limit to set for the current usage, and whether to collect
@@ -76,6 +78,7 @@
 		c.pauseStart, c.pause = now, minCollectPause
 		return limit, false
 	}
+	limit = c.furtherLimit(u)
 	if now.Sub(c.pauseStart) < c.pause {
 		return limit, false
 	}
@@ -83,6 +86,16 @@
 	return limit, true
 }
 
+// furtherLimit returns the lowest of the further limits that leaves enough headroom.
+func (c *LimitController) furtherLimit(u Usage) int64 {
+	for _, soft := range c.further {
+		if limit := Limit(soft, u); limit != NoLimit {
+			return limit
+		}
+	}
+	return NoLimit
+}
+
 // limitVariable is the environment variable from which the Go runtime reads its
 // memory limit.
 const limitVariable = "GOMEMLIMIT"
--- a/keelmemory/limit_test.go
+++ b/keelmemory/limit_test.go
@@ -58,3 +58,16 @@
 	is.True(u.Other > 0)
 	is.True(u.Other < 1<<40) // the heap classes don't exceed the total
 }
+
+// A process whose live heap exceeds the first limit keeps to the next one that leaves headroom.
+func TestFurtherLimits(t *testing.T) {
+	const mb = 1 << 20
+	is := is.New(t)
+	c := keelmemory.NewLimitController(40*mb, 90*mb)
+	for _, tt := range []struct{ live, want int64 }{
+		{20 * mb, 40 * mb}, {60 * mb, 90 * mb}, {80 * mb, keelmemory.NoLimit}, {60 * mb, 90 * mb}, {20 * mb, 40 * mb},
+	} {
+		limit, _ := c.Step(time.Unix(0, 0), keelmemory.Usage{Live: uint64(tt.live)})
+		is.Equal(limit, tt.want)
+	}
+}
