keelproxy: headers and connections of callers are charged before they are parsed

Callers saw: with 400 callers whose headers consist of short lines, within the limit of 16 KiB, an instance used 155 to 366 MiB of 128 (steer) or 126 to 358 (serve); with 1200 silent ones nobody was answered.

Cause: a header was parsed as it came in, into about 70 bytes for each line of 4, which the parser, the request and the pools then held, also while the connection was idle. Each connection held a buffer of 16 or 64 KiB from its start. Nothing limited the connections, and of the limits in force only the length of a body.

Change: a server of our own for the caller port. It starts with a buffer of 4 KiB, waits for a whole header, counts its lines and charges what it will hold before it parses it, and keeps no parsed request while a connection is idle. Connections and requests are charged to one budget for the process, a fifth of memory_mb and two fifths of the descriptors. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs are enforced, and maxBodyBytes also for chunked bodies. A trailer is limited and not parsed. A panic in a handler ends its connection and returns its charge.

Why it works: whatever is not counted has a fixed size for each connection, and what is counted can't exceed the budget, since a caller is refused (503, not run) or gives way first.

--- a/keelcommand/steer.go
+++ b/keelcommand/steer.go
@@ -87,7 +87,7 @@
 	sup := &supervisor{file: file, in: in, log: log, settings: s, signals: signals}
 	group.Go(func() { sup.run(ctx) })
 	if s.MemoryMB > 0 {
-		memory := keelmemory.NewLimitController(int64(s.MemoryMB) << 20 * softMemoryPercent / 100)
+		memory := keelmemory.NewLimitController(s.MemoryBytes() * softMemoryPercent / 100)
 		group.Go(func() { _ = memory.Run(ctx) })
 	}
 	err = in.Run(ctx)
--- a/keelconfig/steer.go
+++ b/keelconfig/steer.go
@@ -58,6 +58,9 @@
 	PeerTrust PeerTrust `json:"peer_trust"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `json:"memory_mb,omitempty"`
+	// Descriptors is the number of file descriptors that the process may open; 0 means the
+	// limit of the operating system.
+	Descriptors int `json:"descriptors,omitempty"`
 	// LinkMbps is the rate of the instance's network link in each direction, in
 	// megabits per second; 0 means that it is not known.
 	LinkMbps float64     `json:"link_mbps,omitempty"`
@@ -173,6 +176,9 @@
 	if s.Timing.HeartbeatMS <= 0 || s.Timing.GraceS <= 0 || s.Timing.LookupTTLS <= 0 {
 		fs.Add("timing", "heartbeat_ms, grace_s and lookup_ttl_s must be more than 0")
 	}
+	if s.MemoryMB < 0 || s.Descriptors < 0 {
+		fs.Add("memory_mb", "memory_mb and descriptors must not be negative")
+	}
 	if s.LinkMbps < 0 {
 		fs.Add("link_mbps", "is %v, must not be negative", s.LinkMbps)
 	}
@@ -186,6 +192,9 @@
 // settings do not list the domain.
 func (s *SteerSettings) RegionOf(d keel.DomainName) keel.RegionName { return s.Regions[d] }
 
+// MemoryBytes returns the memory that the process may use, in bytes, or 0 if it is not known.
+func (s *SteerSettings) MemoryBytes() int64 { return int64(s.MemoryMB) << 20 }
+
 // LinkBytesPerSecond returns the rate of the instance's network link in each
 // direction, or 0 if it is not known.
 func (s *SteerSettings) LinkBytesPerSecond() float64 { return s.LinkMbps * 1e6 / 8 }
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/greengagekeel/greengagekeel/keelclaim"
 	"github.com/greengagekeel/greengagekeel/keelconfig"
 	"github.com/greengagekeel/greengagekeel/keeldeclare"
@@ -61,6 +62,7 @@
 	guard     *keelguard.Service
 	engine    *keelsteer.Engine
 	front     *keelproxy.Front
+	budget    *keelbudget.Budget
 	metrics   *metrics
 
 	endpointApp *fiber.App
@@ -164,6 +166,8 @@
 func (in *Instance) assemble() {
 	s := in.cfg.Settings
 	clock := clockwork.NewRealClock()
+	share := keelbudget.ShareOf(s.Memory.LimitBytes, keelbudget.Descriptors(0))
+	in.budget = keelbudget.New(keelbudget.Config{Bytes: share.Bytes, Connections: min(share.Clients, s.Limits.MaxConnections)})
 	in.fetcher = keeldeclare.NewFetcher(keeldeclare.FetcherConfig{
 		Replica: in.control.replica, Transport: in.peer, Clock: clock, Log: in.log,
 	})
@@ -198,7 +202,7 @@
 		Runner: in.engine, Lookup: in.engine.HandleLookup, Report: in.reportRequest,
 		Log: in.log, MaxHeaderBytes: s.Limits.MaxHeaderBytes, IdleTimeout: callerIdleTimeout,
 		BodyIdle:    s.Timing.BodyIdle.Std(),
-		MaxInFlight: s.Limits.MaxInFlight, MaxConnections: s.Limits.MaxConnections,
+		MaxInFlight: s.Limits.MaxInFlight, Budget: in.budget,
 	})
 	in.endpointApp = keelendpoint.NewApp(in.endpoints, in.reportAnnouncement)
 	in.operatorApp = in.newOperatorApp()
--- a/keelproxy/body.go
+++ b/keelproxy/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 )
 
 // CleanEnd reports whether err is the end of a complete body. A truncated body
@@ -83,9 +84,23 @@
 	switch {
 	case errors.Is(err, ErrStalled):
 		return keel.ReasonRequestTimeout
+	case errors.Is(err, keelbudget.ErrNoRoom):
+		return keel.ReasonOverload
+	case errors.Is(err, errBodyTooLarge):
+		return keel.ReasonTooLarge
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, errConnection), errors.As(err, &network):
 		return keel.ReasonCallerGone
 	default:
 		return keel.ReasonBadRequest
 	}
 }
+
+// BodyRefusal returns the refusal of a request that has not been passed on, whose body could
+// not be read or held because of err.
+func BodyRefusal(err error) *keel.Refusal {
+	refusal := keel.Refuse(keel.NotRun, BodyReason(err), 0, "body of the request: %v", err)
+	if refusal.Reason == keel.ReasonOverload {
+		refusal.RetryAfter = keel.Duration(overloadRetryAfter)
+	}
+	return refusal
+}
--- a/keelproxy/front.go
+++ b/keelproxy/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -38,9 +39,11 @@
 	MaxHeaderBytes int
 	// MaxInFlight limits the requests that have not ended; 0 means no limit.
 	MaxInFlight int
-	// MaxConnections limits the connections of callers; 0 means fasthttp's
-	// default.
-	MaxConnections int
+	// Limits returns the limits that are in force instead of MaxHeaderBytes and
+	// IdleTimeout, where they are not 0. It is called for each request; nil means none.
+	Limits func() Limits
+	// Budget is charged for what callers hold; nil means no limit.
+	Budget *keelbudget.Budget
 	// IdleTimeout closes callers' connections without requests; 0 means no
 	// limit.
 	IdleTimeout time.Duration
@@ -80,10 +83,9 @@
 // Front is the server of the caller port.
 type Front struct {
 	cfg    FrontConfig
-	server *fasthttp.Server
+	server *Server
 	// internalFields are the request's header fields that are not passed on.
 	internalFields []string
-	monitor        *callerMonitor
 	inFlight       atomic.Int64
 	closeConns     atomic.Bool
 }
@@ -99,42 +101,37 @@
 	if cfg.Dialect == nil {
 		cfg.Dialect = DefaultDialect
 	}
-	f := &Front{cfg: cfg, internalFields: cfg.Dialect.internalFields(), monitor: &callerMonitor{
-		idle: cfg.IdleTimeout, bodyIdle: cfg.BodyIdle, clock: cfg.Clock, conns: make(map[*callerConn]struct{}),
-		traffic: cfg.Traffic,
-	}}
-	f.server = &fasthttp.Server{
-		Handler:                      f.handle,
-		ErrorHandler:                 f.handleError,
-		Name:                         "",
-		NoDefaultServerHeader:        true,
-		NoDefaultDate:                true,
-		NoDefaultContentType:         true,
-		StreamRequestBody:            true,
-		DisablePreParseMultipartForm: true,
-		ReadBufferSize:               cfg.MaxHeaderBytes,
-		MaxRequestBodySize:           prefetchBytes,
-		ConnState:                    trackConnState,
-		LazyRequestTime:              true,
-		Concurrency:                  cfg.MaxConnections,
-		CloseOnShutdown:              true,
-		Logger:                       discardLogger{},
-	}
+	f := &Front{cfg: cfg, internalFields: cfg.Dialect.internalFields()}
+	f.server = NewServer(ServerConfig{
+		Handler: f.handle, Refuse: cfg.Dialect.Refuse, Refused: f.refusedUnread, Relayed: cfg.Dialect.Relayed, Limits: f.limits,
+		BodyIdle: cfg.BodyIdle, Budget: cfg.Budget, Clock: cfg.Clock, Traffic: cfg.Traffic, Log: cfg.Log,
+	})
 	return f
 }
 
-// prefetchBytes is how much of a request's body is read before the handler is
-// called.
-const prefetchBytes = 64 << 10
-
-// discardLogger drops fasthttp's log lines; the error handler reports failures.
-type discardLogger struct{}
+// limits returns the limits in force.
+func (f *Front) limits() Limits {
+	var l Limits
+	if f.cfg.Limits != nil {
+		l = f.cfg.Limits()
+	}
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = f.cfg.MaxHeaderBytes
+	}
+	if l.IdleTimeout == 0 {
+		l.IdleTimeout = f.cfg.IdleTimeout
+	}
+	return l
+}
 
-func (discardLogger) Printf(string, ...any) {}
+// refusedUnread reports a request that could not be read or parsed.
+func (f *Front) refusedUnread(refusal *keel.Refusal) {
+	f.report(Result{Request: &Request{}, Status: refusal.Reason.Status(), Refusal: refusal})
+}
 
 // Serve serves callers on ln until [Front.Shutdown].
 func (f *Front) Serve(ln net.Listener) error {
-	if err := f.server.Serve(callerListener{ln, f.monitor}); err != nil {
+	if err := f.server.Serve(ln); err != nil {
 		return errors.Wrapf(err, "serve callers on %s", ln.Addr())
 	}
 	return nil
@@ -142,7 +139,7 @@
 
 // Run cancels requests of callers that have disconnected and enforces the
 // timeouts of callers' connections, until ctx ends.
-func (f *Front) Run(ctx context.Context) error { return f.monitor.Run(ctx) }
+func (f *Front) Run(ctx context.Context) error { return f.server.Run(ctx) }
 
 // DisableKeepAlive makes the server close each connection after its next answer, so that
 // callers connect to another instance.
@@ -150,7 +147,7 @@
 
 // Shutdown stops listening and waits until every request has ended.
 func (f *Front) Shutdown(ctx context.Context) error {
-	if err := f.server.ShutdownWithContext(ctx); err != nil {
+	if err := f.server.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "stop caller port")
 	}
 	return nil
@@ -173,7 +170,7 @@
 func (f *Front) proxy(fctx *fasthttp.RequestCtx) {
 	c, ok := fctx.Conn().(*callerConn)
 	if !ok {
-		fctx.SetStatusCode(fasthttp.StatusInternalServerError) // unreachable: callerListener makes every connection
+		fctx.SetStatusCode(fasthttp.StatusInternalServerError) // unreachable: Server makes every connection
 		return
 	}
 	p := &proxiedRequest{front: f, start: time.Now(), conn: c}
@@ -210,6 +207,7 @@
 		Caller:        p.conn.addr,
 		ReceivedAt:    p.start,
 		conn:          p.conn,
+		account:       p.conn.account,
 		Key:           texts.copyString(h.Peek(HeaderKey)),
 		Ticket:        texts.copyString(h.Peek(HeaderTicket)),
 	}
@@ -304,33 +302,6 @@
 	return addrOf(fctx.RemoteAddr())
 }
 
-// handleError answers requests that fasthttp could not read or parse.
-func (f *Front) handleError(fctx *fasthttp.RequestCtx, err error) {
-	c, ok := fctx.Conn().(*callerConn)
-	if ok && !c.active.Load() {
-		return // no request has begun
-	}
-	refusal := badRequest("request: %v", err)
-	if ok && c.stalled.Load() {
-		refusal = keel.Refuse(keel.NotRun, keel.ReasonRequestTimeout, 0, "the request did not arrive whole: %v", err)
-	}
-	var smallBuffer *fasthttp.ErrSmallBuffer
-	if errors.As(err, &smallBuffer) {
-		if ok {
-			c.requestUnread.Store(true) // the caller is still sending and must be able to read the answer
-		}
-		refusal = keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "header: exceeds %d bytes", f.cfg.MaxHeaderBytes)
-	}
-	fctx.SetConnectionClose()
-	f.cfg.Dialect.Refuse(fctx, refusal)
-	reported := *refusal
-	if smallBuffer == nil {
-		// The caller may be told its own bytes, but they must not be logged.
-		reported.Detail = "request could not be read: " + redactError(err).Error()
-	}
-	f.report(Result{Request: &Request{}, Status: refusal.Reason.Status(), Refusal: &reported})
-}
-
 func (f *Front) report(res Result) {
 	if f.cfg.Report != nil {
 		f.cfg.Report(res)
--- a/keelproxy/monitor.go
+++ b/keelproxy/monitor.go
@@ -19,8 +19,8 @@
 // requests whose callers have disconnected, which fasthttp does not detect since
 // it reads nothing while a request runs, and times out stalled reads and writes.
 type callerMonitor struct {
-	// idle is how long a connection may wait for a request; 0 means no limit.
-	idle time.Duration
+	// limits returns the limits in force.
+	limits func() Limits
 	// bodyIdle is how long a read or a write may make no progress within a
 	// request; 0 means no limit.
 	bodyIdle time.Duration
@@ -58,6 +58,12 @@
 	return changed
 }
 
+func newCallerMonitor(cfg ServerConfig) *callerMonitor {
+	return &callerMonitor{
+		limits: cfg.Limits, bodyIdle: cfg.BodyIdle, clock: cfg.Clock, conns: make(map[*callerConn]struct{}), traffic: cfg.Traffic,
+	}
+}
+
 func (w *callerMonitor) add(c *callerConn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -90,6 +96,7 @@
 	now := w.clock.Now()
 	paused := now.Sub(w.lastCheck) > pauseThreshold
 	w.lastCheck = now
+	limits := w.limits()
 	for _, c := range w.connections() {
 		if p := c.current.Load(); p != nil {
 			p.check(time.Now())
@@ -97,10 +104,8 @@
 		if paused {
 			c.progress = connProgress{expired: c.progress.expired}
 		}
-		if w.readStalled(c) && !c.progress.expired {
-			c.progress.expired = true
-			c.stalled.Store(true)
-			_ = c.SetReadDeadline(pastDeadline) // a closed connection needs no deadline
+		if w.readStalled(c, limits) && !c.progress.expired {
+			c.expire()
 		}
 		if w.writeStalled(c) {
 			_ = c.SetWriteDeadline(pastDeadline)
@@ -120,30 +125,47 @@
 	return conns
 }
 
-// readStalled reports whether a read from a caller has been pending for too long.
-// Time without a pending read, as when a request waits for an endpoint, does not
-// count.
-func (w *callerMonitor) readStalled(c *callerConn) bool {
+// readStalled reports whether a read from a caller has been pending for too long, or the
+// header of a request is incomplete for too long. Time without a pending read, as when a
+// request waits for an endpoint, does not count.
+func (w *callerMonitor) readStalled(c *callerConn, limits Limits) bool {
 	now := w.clock.Now() // taken before the count is loaded, which may change afterwards
 	reads := c.reads.Load()
 	if c.progress.reads.update(reads) {
 		c.progress.reads.since = w.clock.Now() // taken after the count was loaded, so the wait is not overestimated
 	}
-	if !c.active.Load() || c.current.Load() != nil {
+	active := c.active.Load()
+	if !active || c.headerRead.Load() {
 		c.progress.headerStart = time.Time{}
 	} else if c.progress.headerStart.IsZero() {
 		c.progress.headerStart = now
 	}
-	limit := w.idle
-	if c.active.Load() {
+	if reads%2 == 0 {
+		c.account.SetWaitsSince(time.Time{})
+		return false
+	}
+	c.account.SetWaitsSince(c.progress.reads.since)
+	limit := limits.IdleTimeout
+	if active {
 		limit = w.bodyIdle
 	}
-	if reads%2 == 0 || limit <= 0 {
-		return false
+	headerStart, headerTimeout := c.progress.headerStart, limits.HeaderTimeout
+	if headerTimeout <= 0 {
+		headerTimeout = maxTimeout // no request may take longer, which includes its header
+	}
+	return limit > 0 && now.Sub(c.progress.reads.since) > limit || !headerStart.IsZero() && now.Sub(headerStart) > headerTimeout
+}
+
+// expire ends a pending read of the caller's bytes, if the connection is still in the state
+// that it was found in.
+func (c *callerConn) expire() {
+	if !c.active.Load() {
+		c.progress.expired = c.closeIdle()
+		return
 	}
-	// No request may take longer than maxTimeout, which includes its header.
-	headerStart := c.progress.headerStart
-	return now.Sub(c.progress.reads.since) > limit || (!headerStart.IsZero() && now.Sub(headerStart) > maxTimeout)
+	c.progress.expired = true
+	c.stalled.Store(true)
+	_ = c.SetReadDeadline(pastDeadline) // a closed connection needs no deadline
 }
 
 // writeStalled reports whether the last part of an answer can't be written because
--- a/keelproxy/peek.go
+++ b/keelproxy/peek.go
@@ -14,12 +14,13 @@
 	raw syscall.RawConn
 	// err is set if the connection gives no access to its socket.
 	err error
-	// peekFunc and pollFunc are created once, since a closure per call would
+	// peekFunc, pollFunc and unreadFunc are created once, since a closure per call would
 	// allocate.
-	peekFunc func(fd uintptr)
-	pollFunc func(fd uintptr)
-	pollFds  [1]unix.PollFd
-	// n and callErr are the result of the last call of peekFunc or pollFunc.
+	peekFunc   func(fd uintptr)
+	pollFunc   func(fd uintptr)
+	unreadFunc func(fd uintptr)
+	pollFds    [1]unix.PollFd
+	// n and callErr are the result of the last call of one of them.
 	n       int
 	callErr error
 	buf     [1]byte
@@ -36,6 +37,7 @@
 	p.peekFunc = func(fd uintptr) {
 		p.n, _, p.callErr = unix.Recvfrom(int(fd), p.buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	}
+	p.unreadFunc = func(fd uintptr) { p.n, p.callErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }
 	p.pollFunc = func(fd uintptr) {
 		p.pollFds[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
 		p.n, p.callErr = unix.Poll(p.pollFds[:], 0)
@@ -64,6 +66,18 @@
 	return err == nil && p.callErr == nil && p.n == 0
 }
 
+// unread returns the number of bytes that the kernel holds and that were not read.
+func (p *peeker) unread() int64 {
+	if p.err != nil {
+		return 0
+	}
+	err := p.raw.Control(p.unreadFunc)
+	if err != nil || p.callErr != nil {
+		return 0 // the connection is closed
+	}
+	return int64(p.n)
+}
+
 // closed reports whether the other side has closed the connection.
 func (p *peeker) closed() bool {
 	n, err := p.peek()
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -3,11 +3,11 @@
 import (
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/valyala/fasthttp"
 )
 
@@ -29,13 +29,15 @@
 	fields  [typicalFields]Field
 }
 
-// check cancels the request if its caller has disconnected, and interrupts the
-// writing of its answer if that continues past the deadline.
+// check cancels the request if its caller has disconnected, charges what the kernel holds of
+// the caller's bytes, and interrupts the writing of the answer if that continues past the
+// deadline.
 func (p *proxiedRequest) check(now time.Time) {
 	if p.conn.left() {
 		p.conn.ended.Store(true)
 		p.ctx.cancel()
 	}
+	p.conn.chargeUnread()
 	deadline, ok := p.ctx.Deadline()
 	if !ok || now.Sub(deadline) <= checkInterval || p.conn.writes.Load()%2 == 0 {
 		return
@@ -48,23 +50,17 @@
 
 // attachBody sets the body of the request to a reader of the caller's connection.
 func (p *proxiedRequest) attachBody(fctx *fasthttp.RequestCtx) {
-	if !hasBody(fctx) {
+	body, ok := fctx.RequestBodyStream().(*wireBody)
+	if !ok {
 		p.request.ContentLength = 0
 		return
 	}
-	p.body.r, p.body.conn, p.body.remaining = fctx.RequestBodyStream(), p.conn, p.request.ContentLength
+	p.body.r, p.body.conn = body, p.conn
 	p.request.Body = &p.body
 }
 
-func hasBody(fctx *fasthttp.RequestCtx) bool {
-	length := fctx.Request.Header.ContentLength()
-	return fctx.RequestBodyStream() != nil && (length > 0 || length == int(LengthUnknown))
-}
-
 func (p *proxiedRequest) refuse(fctx *fasthttp.RequestCtx, refusal *keel.Refusal) {
-	if !p.stopBody() {
-		p.closeAfterAnswer(fctx)
-	}
+	p.stopBody()
 	p.front.cfg.Dialect.Refuse(fctx, refusal)
 	p.result = Result{Status: refusal.Reason.Status(), Refusal: refusal}
 	p.end()
@@ -92,22 +88,13 @@
 		body.noBody = true
 		_ = body.Close()
 	}
-	if p.body.r != nil && !p.body.atEnd.Load() {
-		p.closeAfterAnswer(fctx)
-	}
 }
 
-// closeAfterAnswer closes the connection after the answer, since the rest of the
-// body is unread and would be parsed as the next request.
-func (p *proxiedRequest) closeAfterAnswer(fctx *fasthttp.RequestCtx) {
-	fctx.SetConnectionClose()
-	p.conn.requestUnread.Store(true)
-}
-
-// stopBody stops reading the request's body and reports whether all of it was
-// read.
-func (p *proxiedRequest) stopBody() bool {
-	return p.body.r == nil || p.body.stop()
+// stopBody stops reading the request's body.
+func (p *proxiedRequest) stopBody() {
+	if p.body.r != nil {
+		p.body.stop()
+	}
 }
 
 // end releases and reports the request. Only the first call has an effect.
@@ -161,13 +148,10 @@
 // returned, no read is in progress, so that the connection can be used for the
 // next request.
 type callerBody struct {
-	r    io.Reader
-	conn *callerConn
-	// remaining is the number of unread bytes, or negative if it is not known.
-	remaining int64
-	mu        sync.Mutex // held while reading
-	stopped   bool
-	atEnd     atomic.Bool
+	r       *wireBody
+	conn    *callerConn
+	mu      sync.Mutex // held while reading
+	stopped bool
 
 	interruptMu sync.Mutex // guards ended
 	ended       bool
@@ -180,17 +164,15 @@
 		return 0, errors.New("request body: the request has ended")
 	}
 	n, err := b.r.Read(p)
-	b.remaining -= int64(n)
-	if b.remaining > 0 && CleanEnd(err) {
-		// fasthttp returns io.EOF for a truncated stream as well.
-		return n, io.ErrUnexpectedEOF
-	}
 	switch {
+	case err == nil:
 	case CleanEnd(err):
-		b.atEnd.Store(true)
-	case err != nil && b.conn.stalled.Load():
+		b.conn.account.SetState(b.conn.server.cfg.Clock.Now(), keelbudget.Running)
+	case b.conn.evicted.Load():
+		err = keelbudget.ErrNoRoom
+	case b.conn.stalled.Load():
 		err = ErrStalled
-	default:
+	case !errors.Is(err, errBodyTooLarge):
 		err = redactError(err)
 	}
 	return n, err
@@ -208,9 +190,9 @@
 }
 
 // stop interrupts a pending read, makes later ones fail and waits until none is
-// in progress. It reports whether the body was read to its end.
-func (b *callerBody) stop() bool {
-	if !b.atEnd.Load() {
+// in progress.
+func (b *callerBody) stop() {
+	if !b.r.atEnd.Load() {
 		b.Interrupt()
 	}
 	b.interruptMu.Lock()
@@ -219,5 +201,4 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stopped = true
-	return b.atEnd.Load()
 }
--- a/keelproxy/request.go
+++ b/keelproxy/request.go
@@ -20,6 +20,7 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/greengagekeel/greengagekeel/keelheader"
 )
 
@@ -113,6 +114,8 @@
 	// conn is the connection of the caller; nil if another instance forwarded the
 	// request.
 	conn *callerConn
+	// account is charged for what the request holds; nil means that nothing is.
+	account *keelbudget.Account
 }
 
 // CallerLeft reports whether the caller has closed its connection. It asks the kernel,
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/greengagekeel/greengagekeel/keelconfig"
 	"github.com/greengagekeel/greengagekeel/keelentry"
 	"github.com/greengagekeel/greengagekeel/keelguard"
@@ -75,6 +76,7 @@
 	link           *keelentry.LinkGuard
 	front          *keelproxy.Front
 	callerListener net.Listener
+	budget         *keelbudget.Budget
 	metrics        *metrics
 	leaving        atomic.Bool
 	stop           stopSignal
@@ -89,6 +91,8 @@
 	}
 	calls := keelpeer.NewCallClient(keelpeer.CallClientConfig{Keys: keys})
 	in := &Entry{cfg: cfg, calls: calls, metrics: newMetrics(s), stop: make(stopSignal)}
+	share := keelbudget.ShareOf(s.MemoryBytes(), keelbudget.Descriptors(s.Descriptors))
+	in.budget = keelbudget.New(keelbudget.Config{Bytes: share.Bytes, Connections: share.Clients})
 	in.follower = keelsync.NewFollower(keelsync.FollowerConfig{
 		Self: keelworld.Node{
 			Name: instanceName(s), Incarnation: uint64(time.Now().UnixNano()),
@@ -118,12 +122,29 @@
 	in.front = keelproxy.NewFront(keelproxy.FrontConfig{
 		Runner: in.runner, Dialect: cfg.Dialect, Log: cfg.Log, Report: in.metrics.recordRequest,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout, BodyIdle: bodyIdleTimeout,
-		MoveCaller: in.link.MoveCaller, Traffic: traffic,
+		Limits: in.limits, Budget: in.budget, MoveCaller: in.link.MoveCaller, Traffic: traffic,
 	})
-	in.callerListener, err = listen(s.Listen.Caller)
+	in.callerListener, err = in.listenCallers(s.Listen.Caller)
 	return in, err
 }
 
+// limits returns the limits on requests in force.
+func (in *Entry) limits() keelproxy.Limits {
+	l := in.follower.View().Limits
+	return keelproxy.Limits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+	}
+}
+
+// listenCallers opens a port that callers reach.
+func (in *Entry) listenCallers(at netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", at)
+	}
+	return keelpeer.AcceptRetrier{Listener: ln}, nil
+}
+
 // instanceName returns the name of the instance among its peers: its address.
 func instanceName(s *keelconfig.SteerSettings) keel.InstanceName {
 	return keel.InstanceName(s.Address.String())
@@ -152,6 +173,7 @@
 			group.Go(appServer{in.cfg.App(in), at}.run)
 		}
 	}
+	group.Go(keelbudget.Reporter{Budget: in.budget, Log: in.cfg.Log}.Run)
 	if at := operatorAddr(in.cfg.Settings); at.IsValid() {
 		group.Go(appServer{newOperatorApp(in.metrics, in.gaugeValues, in.stateDump), at}.run)
 	}
@@ -180,7 +202,11 @@
 	for _, es := range v.Endpoints {
 		endpoints += len(es)
 	}
+	usage := in.budget.Usage()
 	return map[string]float64{
+		"held_bytes": float64(usage.Held), "held_bytes_limit": float64(usage.Limit),
+		"caller_connections": float64(usage.Connections), "caller_connections_limit": float64(usage.MaxConnections),
+		"callers_evicted": float64(usage.Evicted), "callers_without_room": float64(usage.Refused),
 		"in_flight": float64(in.front.InFlight()), "view_index": float64(v.Index),
 		"view_age_seconds": in.follower.Age(time.Now()).Seconds(),
 		"endpoints":        float64(endpoints), "entry_instances": float64(len(v.Nodes)),
@@ -206,7 +232,7 @@
 		"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "leaving": in.leaving.Load(),
 		"index": v.Index, "age_ms": in.follower.Age(time.Now()).Milliseconds(), "configured": v.Configured, "isolated": in.runner.Isolated(),
 		"endpoints": v.Endpoints, "drained": v.Drained, "entry_instances": v.Nodes,
-		"suspects": crashCounts(v.Suspects), "rate_limits": perSecond(v.RateLimits),
+		"callers": in.budget.Usage(), "suspects": crashCounts(v.Suspects), "rate_limits": perSecond(v.RateLimits),
 	}
 }
 
