keelproxy, keelentry, keelsteer: buffered bodies are charged as they grow

Callers saw: 400 bodies that are buffered for a second attempt, 256 KiB each for steer and 1 MiB for serve, which stop just short of their end, made an instance use 147 to 202 MiB of 128 (steer) and 492 to 495 (serve), whole, in pieces, in one chunk or in small ones.

Cause: each body was read into a buffer of its own, which grew without regard to the others, and stayed while its caller was silent.

Change: one function reads bodies for both request paths. Each growth of the buffer is charged first. Without room the request is refused (503, not run, come back after 1 s), and callers that hold much or have stopped give way to others. A body in chunks of more than 256 KiB can be interrupted as others can.

Why it works: a body holds its charge and no more, and the sum is limited.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -149,7 +149,7 @@
 	if cancel != nil {
 		defer cancel()
 	}
-	if err := t.bufferBody(); err != nil {
+	if err := t.bufferBody(ctx); err != nil {
 		return nil, t.logRefused(err)
 	}
 	a, refusal := t.dispatch(ctx, now)
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -85,28 +85,25 @@
 }
 
 // bufferBody reads the body of the request if it has at most [maxBufferedBytes].
-func (t *task) bufferBody() *keel.Refusal {
+func (t *task) bufferBody(ctx context.Context) *keel.Refusal {
 	r := t.request
-	if limit := t.view.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		return keel.Refuse(keel.NotRun, keel.ReasonTooLarge, 0, "body: has %d bytes, the limit is %d", r.ContentLength, limit)
-	}
 	if r.Body == nil {
 		return nil
 	}
-	if r.ContentLength > maxBufferedBytes {
-		t.streamed = true
-		return nil
-	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil {
-		return keel.Refuse(keel.NotRun, keelproxy.BodyReason(err), 0, "read body of the request: %v", err)
+	t.streamed = r.ContentLength > maxBufferedBytes
+	if !t.streamed {
+		data, whole, err := r.BufferBody(context.WithoutCancel(ctx), maxBufferedBytes)
+		if err != nil {
+			return keelproxy.BodyRefusal(err)
+		}
+		t.body, t.streamed = data, !whole
 	}
-	if len(data) > maxBufferedBytes {
-		r.Body = io.MultiReader(bytes.NewReader(data), r.Body)
-		t.streamed = true
+	if !t.streamed {
 		return nil
 	}
-	t.body = data
+	if err := r.HoldStream(); err != nil {
+		return keelproxy.BodyRefusal(err)
+	}
 	return nil
 }
 
@@ -325,8 +322,8 @@
 // failureKind returns the kind of outcome of a request that got no answer.
 func failureKind(ctx context.Context, refusal *keel.Refusal) keelplace.OutcomeKind {
 	switch {
-	case refusal.Reason == keel.ReasonCallerGone, errors.Is(ctx.Err(), context.Canceled):
-		return keelplace.GivenUp
+	case refusal.Reason == keel.ReasonCallerGone, refusal.Reason == keel.ReasonOverload, errors.Is(ctx.Err(), context.Canceled):
+		return keelplace.GivenUp // the endpoint has no part in it
 	case refusal.Reason == keel.ReasonDeadline, ctx.Err() != nil:
 		return keelplace.Late
 	case refusal.Verdict == keel.NotRun:
--- a/keelsteer/dispatched.go
+++ b/keelsteer/dispatched.go
@@ -70,7 +70,7 @@
 // failure is no evidence against the endpoint.
 func callersFault(reason keel.Reason) bool {
 	switch reason {
-	case keel.ReasonRequestTimeout, keel.ReasonCallerGone, keel.ReasonBadRequest:
+	case keel.ReasonRequestTimeout, keel.ReasonCallerGone, keel.ReasonBadRequest, keel.ReasonTooLarge, keel.ReasonOverload:
 		return true
 	default:
 		return false
--- a/keelsteer/keyed.go
+++ b/keelsteer/keyed.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/greengagekeel/greengagekeel/keelclaim"
 	"github.com/greengagekeel/greengagekeel/keelguard"
 	"github.com/greengagekeel/greengagekeel/keelproxy"
@@ -71,22 +72,19 @@
 	if r.ContentLength > int64(limit) {
 		return 0, tooLarge(limit)
 	}
-	stop := context.AfterFunc(ctx, func() { keelproxy.Interrupt(r.Body) })
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	stop()
+	body, whole, err := r.BufferBody(ctx, limit)
+	if errors.Is(err, keelbudget.ErrNoRoom) {
+		return 0, keelproxy.BodyRefusal(err)
+	}
 	if err != nil && ctx.Err() != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return 0, contextRefusal(ctx, "the request ended before its body was received")
 	}
 	if err != nil {
 		return 0, keel.Refuse(keel.NotRun, bodyRefusalReason(err), 0, "body of request %q: %v", r.ID, err)
 	}
-	if len(body) > limit {
+	if !whole {
 		return 0, tooLarge(limit)
 	}
-	if r.ContentLength != keelproxy.LengthUnknown && int64(len(body)) != r.ContentLength {
-		// The HTTP library reports no error for a stream that the caller cut short.
-		return 0, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "body of request %q: has %d of %d bytes", r.ID, len(body), r.ContentLength)
-	}
 	_, _ = h.Write(body)
 	r.Body = bytes.NewReader(body)
 	r.ContentLength = int64(len(body))
--- a/keelsteer/run.go
+++ b/keelsteer/run.go
@@ -59,6 +59,11 @@
 	if sel.AtMostOnce() {
 		return e.runKeyed(ctx, p, sel, r)
 	}
+	if r.HasBody() {
+		if err := r.HoldStream(); err != nil {
+			return nil, keelproxy.BodyRefusal(err)
+		}
+	}
 	return e.runShared(ctx, p, sel, r)
 }
 
