keelentry: a body that outlasts the time limit of its request is no longer awaited

Callers saw: a request whose body came in single bytes, each within 3 s of the one before, kept its buffer and its connection for as long as the caller liked, hours beyond its time limit; only serve interrupted it.

Cause: reading the body did not end with the context of the request.

Change: it does, and the request is refused with 408, not run.

Evidence: TestBodyOutlastsTimeLimit did not end before (8 s for a limit of 0.5 s).

--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -92,8 +92,11 @@
 	}
 	t.streamed = r.ContentLength > maxBufferedBytes
 	if !t.streamed {
-		data, whole, err := r.BufferBody(context.WithoutCancel(ctx), maxBufferedBytes)
-		if err != nil {
+		data, whole, err := r.BufferBody(ctx, maxBufferedBytes)
+		switch {
+		case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+			return keel.Refuse(keel.NotRun, keel.ReasonRequestTimeout, 0, "the body of the request did not arrive within its time limit")
+		case err != nil:
 			return keelproxy.BodyRefusal(err)
 		}
 		t.body, t.streamed = data, !whole
