keelproxy: what the kernel holds of an upload, and connections to endpoints, are limited

Callers saw: 400 uploads to an endpoint that reads slowly made an instance hold 525 to 665 MiB of 128 (steer) and 326 to 664 (serve), most of it in the kernel, and use two descriptors each.

Cause: the kernel's buffers of a connection grow to some megabytes when nobody reads, on the caller's and on the endpoint's side; nothing limited the number of connections to endpoints; each request had a buffer of 64 KiB for the header of its answer, and the copy of its header for the endpoint stayed in a pool.

Change: sockets of callers and to endpoints have buffers of 64 KiB. Connections to endpoints take at most two fifths of the descriptors; the one that has been idle longest gives way, and without one the request is refused as not run, without blame for the endpoint. The buffer for answers starts with 4 KiB and grows.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -110,6 +110,11 @@
 			in.Close()
 			return errors.Wrapf(err, "%s", p.name)
 		}
+		if p.ln == &in.ports.caller {
+			if err := keelproxy.LimitBuffers(ln); err != nil {
+				in.cfg.Log.WithError(err).Warn("the buffers of callers' connections are not limited")
+			}
+		}
 		*p.ln = keelpeer.AcceptRetrier{Listener: ln}
 	}
 	return nil
@@ -195,7 +200,8 @@
 	in.engine = keelsteer.New(keelsteer.Config{
 		Self: in.self, Declared: in.control.replica.Current, View: in.steeringView, Endpoints: in.endpoints,
 		Transport: in.peer, Claims: in.claims, Guard: in.guard, Log: in.log, OnVersion: in.onVersion, OnLookup: in.reportLookup,
-		LookupTTL: s.Timing.LookupTTL.Std(), MaxKeyedBytes: int(s.Limits.MaxKeyedBodyBytes), MaxAnswerBytes: maxAnswerBytes,
+		MaxEndpointConns: share.Endpoints,
+		LookupTTL:        s.Timing.LookupTTL.Std(), MaxKeyedBytes: int(s.Limits.MaxKeyedBodyBytes), MaxAnswerBytes: maxAnswerBytes,
 		FirstStart: in.control.replica.Current().Version == 0, Seed: in.self.Incarnation,
 	})
 	in.front = keelproxy.NewFront(keelproxy.FrontConfig{
--- a/keelproxy/answerread.go
+++ b/keelproxy/answerread.go
@@ -72,7 +72,7 @@
 // opens a body with a length; other bodies are read by [endpointConn.bodyReader].
 func (conn *endpointConn) readHeader(resp *fasthttp.Response) error {
 	for range maxInterimAnswers + 1 {
-		if err := keelheader.CheckAnswer(conn.r); err != nil {
+		if err := conn.checkHeader(); err != nil {
 			return redactError(err)
 		}
 		if err := resp.Header.Read(conn.r); err != nil {
@@ -89,6 +89,18 @@
 	return errors.Errorf("more than %d interim answers", maxInterimAnswers)
 }
 
+// checkHeader waits for the header of an answer and checks it. Its buffer grows up to the limit.
+func (conn *endpointConn) checkHeader() error {
+	for {
+		err := keelheader.CheckAnswer(conn.r)
+		most := conn.client.cfg.MaxHeaderBytes
+		if !errors.Is(err, keelheader.ErrTooLong) || conn.r.Size() >= most {
+			return err
+		}
+		conn.r = enlarge(conn.r, &conn.netReader, min(2*conn.r.Size(), most))
+	}
+}
+
 // openBody opens the body of the answer whose header is in resp if it has a length.
 func (conn *endpointConn) openBody(resp *fasthttp.Response) error {
 	if resp.SkipBody || !hasBodyStatus(resp.StatusCode()) || closeDelimited(resp) || chunked(resp) {
--- a/keelproxy/endpoint.go
+++ b/keelproxy/endpoint.go
@@ -45,6 +45,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle limits the unused connections to one endpoint.
 	MaxIdle int
+	// MaxOpen limits the connections to all endpoints; 0 means no limit.
+	MaxOpen int
 	// MaxHeaderBytes limits the header of an answer.
 	MaxHeaderBytes int
 	// Observer is notified of connections. It may be nil.
@@ -75,10 +77,12 @@
 	readers        sync.Pool
 	writers        sync.Pool
 
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*endpointConn
-	open   map[uint64]*endpointConn
-	nextID uint64
+	mu sync.Mutex
+	// dialing is the number of connections that are being opened.
+	dialing int
+	idle    map[netip.AddrPort][]*endpointConn
+	open    map[uint64]*endpointConn
+	nextID  uint64
 }
 
 // NewEndpointClient returns a client without connections.
@@ -115,6 +119,9 @@
 func (c *EndpointClient) Dispatch(ctx context.Context, t Target, r *Request) (*Answer, error) {
 	now := time.Now()
 	conn, err := c.acquire(ctx, now, t, r)
+	if errors.Is(err, errTooManyConns) {
+		return nil, keel.Refuse(keel.NotRun, keel.ReasonOverload, overloadRetryAfter, "%v", err)
+	}
 	if err != nil {
 		return nil, keel.Refuse(keel.NotRun, keel.ReasonEndpointFailed, 0, "connect to endpoint %s: %v", t.ID, redactError(err))
 	}
@@ -250,7 +257,7 @@
 		r.Reset(&conn.netReader)
 		conn.r = r
 	} else {
-		conn.r = bufio.NewReaderSize(&conn.netReader, c.cfg.MaxHeaderBytes)
+		conn.r = bufio.NewReaderSize(&conn.netReader, c.readerBytes())
 	}
 	if w, ok := c.writers.Get().(*bufio.Writer); ok {
 		w.Reset(&conn.netWriter)
@@ -260,21 +267,30 @@
 	}
 }
 
-// releaseBuffers returns the buffers to the pools.
+// readerBytes is the size of the buffer with which the header of an answer is read first.
+func (c *EndpointClient) readerBytes() int { return min(readerBytes, c.cfg.MaxHeaderBytes) }
+
+// releaseBuffers returns the buffers to the pools, but for a reader that was enlarged.
 func (c *EndpointClient) releaseBuffers(conn *endpointConn) {
-	c.readers.Put(conn.r)
+	if conn.r.Size() == c.readerBytes() {
+		c.readers.Put(conn.r)
+	}
 	c.writers.Put(conn.w)
 	conn.r, conn.w = nil, nil
 }
 
 func (c *EndpointClient) dial(ctx context.Context, t Target) (*endpointConn, error) {
-	d := net.Dialer{Timeout: c.cfg.DialTimeout}
+	if err := c.reserve(); err != nil {
+		return nil, err
+	}
+	d := net.Dialer{Timeout: c.cfg.DialTimeout, Control: limitSocketBuffers}
 	nc, err := d.DialContext(ctx, "tcp", t.Address.String())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing--
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", t.Address)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.nextID++
 	conn := newEndpointConn(c, c.nextID, t, nc)
 	c.open[conn.id] = conn
@@ -282,6 +298,45 @@
 	return conn, nil
 }
 
+// errTooManyConns is returned when no further connection may be opened.
+var errTooManyConns = errors.New("all connections to endpoints are in use")
+
+// reserve makes room for a connection. At the limit it closes the connection that has been
+// idle for the longest time.
+func (c *EndpointClient) reserve() error {
+	c.mu.Lock()
+	var oldest *endpointConn
+	if c.cfg.MaxOpen > 0 && len(c.open)+c.dialing >= c.cfg.MaxOpen {
+		if oldest = c.popOldestIdle(); oldest == nil {
+			c.mu.Unlock()
+			return errTooManyConns
+		}
+	}
+	c.dialing++
+	c.mu.Unlock()
+	if oldest != nil {
+		oldest.close()
+	}
+	return nil
+}
+
+// popOldestIdle removes the connection that has been idle for the longest time, or returns nil.
+// The caller holds mu.
+func (c *EndpointClient) popOldestIdle() *endpointConn {
+	var oldest *endpointConn
+	for _, conns := range c.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].idleSince.Before(oldest.idleSince)) {
+			oldest = conns[0] // they are in the order of their last use
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	addr := oldest.target.Address
+	c.idle[addr] = c.idle[addr][1:]
+	return oldest
+}
+
 func (c *EndpointClient) removeConn(conn *endpointConn) {
 	c.mu.Lock()
 	delete(c.open, conn.id)
--- a/keelproxy/endpointconn.go
+++ b/keelproxy/endpointconn.go
@@ -176,8 +176,11 @@
 
 // send writes r. A failure to read its body is returned as a [bodyError].
 func (conn *endpointConn) send(r *Request) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	req := &fasthttp.Request{}
+	if len(r.Header) <= maxPooledLines { // a pooled request keeps the memory of all its fields
+		req = fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+	}
 	conn.reqBody = requestBody{r: r.Body}
 	body := &conn.reqBody
 	conn.client.fillRequest(req, r, conn.target, body, time.Now())
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -106,6 +106,7 @@
 	in.link = keelentry.NewLinkGuard(keelentry.LinkConfig{Traffic: traffic, BytesPerSecond: s.LinkBytesPerSecond()})
 	in.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{
 		DialTimeout: dialTimeout, IdleTimeout: endpointIdleTimeout, Dialect: cfg.Dialect, Traffic: traffic,
+		MaxOpen:  share.Endpoints,
 		Observer: keelentry.ContactObserver{Connected: func() { in.runner.Connected() }},
 	})
 	in.runner = keelentry.NewRunner(keelentry.Config{
@@ -142,6 +143,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", at)
 	}
+	if err := keelproxy.LimitBuffers(ln); err != nil {
+		in.cfg.Log.WithError(err).WithField("address", at.String()).Warn("the buffers of callers' connections are not limited")
+	}
 	return keelpeer.AcceptRetrier{Listener: ln}, nil
 }
 
--- a/keelsteer/engine.go
+++ b/keelsteer/engine.go
@@ -41,6 +41,8 @@
 	// MaxKeyedBytes limits the body of an at-most-once request. It is buffered
 	// in memory, so that it can be hashed and sent again.
 	MaxKeyedBytes int
+	// MaxEndpointConns limits the connections to endpoints; 0 means no limit.
+	MaxEndpointConns int
 	// MaxAnswerBytes limits the answer to an at-most-once request that is
 	// recorded for resends.
 	MaxAnswerBytes int
@@ -134,7 +136,7 @@
 	e.closedDomains = newClosedDomains()
 	e.handOvers = newHandOvers()
 	e.silence = newSilenceWatch(cfg.Log)
-	e.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: e.silence})
+	e.client = keelproxy.NewEndpointClient(keelproxy.ClientConfig{Observer: e.silence, MaxOpen: cfg.MaxEndpointConns})
 	e.silence.client = e.client
 	e.makePlan(time.Now())
 	return e
