keelrole: the ports of look-ups and readiness are served within the same budget

Callers saw: 400 bodies of 3 MiB, or as much in chunks, at the look-up port made an entry instance use 1633 to 1666 MiB of 128; silent callers there took all its descriptors, so that requests were not answered either.

Cause: these ports had a server of their own, which reads each body into memory up to 4 MiB, without a limit on connections or times.

Change: they are served by the server of the caller port, with its budget, its limits and a body of at most 4 KiB.

--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -174,7 +174,7 @@
 	group.Go(in.runner.Run)
 	for _, at := range []netip.AddrPort{in.cfg.Settings.Listen.Ready, in.cfg.Settings.Listen.Lookup} {
 		if at.IsValid() {
-			group.Go(appServer{in.cfg.App(in), at}.run)
+			group.Go(callerAppServer{in, at}.run)
 		}
 	}
 	group.Go(keelbudget.Reporter{Budget: in.budget, Log: in.cfg.Log}.Run)
@@ -313,6 +313,50 @@
 	return nil
 }
 
+// callerAppServer serves the HTTP application of an entry instance on an address that callers
+// reach.
+type callerAppServer struct {
+	in   *Entry
+	addr netip.AddrPort
+}
+
+// maxAppBodyBytes limits the body of a look-up, which has none.
+const maxAppBodyBytes = 4 << 10
+
+func (s callerAppServer) run(ctx context.Context) error {
+	ln, err := s.in.listenCallers(s.addr)
+	if err != nil {
+		return err
+	}
+	server := keelproxy.NewServer(keelproxy.ServerConfig{
+		Handler: s.in.cfg.App(s.in).Handler(), Limits: s.limits, BodyIdle: bodyIdleTimeout, Budget: s.in.budget, Log: s.in.cfg.Log,
+	})
+	group := pool.New().WithErrors().WithContext(ctx).WithCancelOnError()
+	group.Go(server.Run)
+	group.Go(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+		defer stop()
+		if err := server.Serve(ln); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// limits returns the limits on look-ups.
+func (s callerAppServer) limits() keelproxy.Limits {
+	l := s.in.limits()
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = maxHeaderBytes
+	}
+	if l.IdleTimeout == 0 {
+		l.IdleTimeout = callerIdleTimeout
+	}
+	l.BodyBytes = maxAppBodyBytes
+	return l
+}
+
 // appServer serves an HTTP application on one address.
 type appServer struct {
 	app  *fiber.App
