keelproxy: many names in a Connection field take linear time

Callers saw: a header of 16 KiB whose Connection field lists thousands of names kept a processor busy for milliseconds, a crowd of them for seconds.

Cause: each field was compared with each listed name.

Change: the names are looked up in a set.

--- a/keelproxy/header.go
+++ b/keelproxy/header.go
@@ -14,8 +14,8 @@
 type headerFilter struct {
 	// internal lists further fields that are not passed on.
 	internal []string
-	// listed holds the field names in the Connection field.
-	listed []string
+	// listed holds the field names in the Connection field, in lower case.
+	listed map[string]bool
 	texts  *arena
 	fields []Field
 }
@@ -30,20 +30,30 @@
 	}
 	for name := range strings.SplitSeq(connection, ",") {
 		name = strings.ToLower(strings.TrimSpace(name))
-		if name != "" {
-			f.listed = append(f.listed, name)
+		if name == "" {
+			continue
 		}
+		if f.listed == nil {
+			f.listed = make(map[string]bool)
+		}
+		f.listed[name] = true
 	}
 	return f
 }
 
 func (f *headerFilter) add(name, value []byte) {
-	if matchesAny(hopByHop, name) || matchesAny(f.internal, name) || matchesAny(f.listed, name) {
+	if matchesAny(hopByHop, name) || matchesAny(f.internal, name) || f.isListed(name) {
 		return
 	}
 	f.fields = append(f.fields, Field{Name: f.texts.copyString(name), Value: f.texts.copyString(value)})
 }
 
+// isListed reports whether the Connection field lists a name. It may list thousands, so that a
+// search for each field would take the square of their number.
+func (f *headerFilter) isListed(name []byte) bool {
+	return len(f.listed) > 0 && f.listed[strings.ToLower(string(name))]
+}
+
 // matchesAny reports whether name is in list, ignoring case.
 func matchesAny(list []string, name []byte) bool {
 	for _, s := range list {
--- a/keelproxy/proxy_test.go
+++ b/keelproxy/proxy_test.go
@@ -98,7 +98,7 @@
 }
 
 // dialFront serves callers at a port until the test ends, and connects to it.
-func dialFront(t *testing.T, front *keelproxy.Front) net.Conn {
+func dialFront(t testing.TB, front *keelproxy.Front) net.Conn {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
