keelproxy: requests that other instances forward are charged

Cause: an owner of endpoints in serve held the fields of forwarded requests without a charge. Each of its peers is limited, their sum was not.

Change: a forwarded request is charged to the budget of the process at its real size until its answer ends. Without room it is refused as not run.

--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -227,7 +227,7 @@
 
 // HandleStream implements [keel.StreamHandler].
 func (d deferredStreams) HandleStream(ctx context.Context, e keel.Envelope, s keel.Stream) {
-	rc := &keelproxy.Receiver{Runner: d.in.engine, Log: d.in.log}
+	rc := &keelproxy.Receiver{Runner: d.in.engine, Budget: d.in.budget, Log: d.in.log}
 	rc.HandleStream(ctx, e, s)
 }
 
--- a/keelproxy/receive.go
+++ b/keelproxy/receive.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/sirupsen/logrus"
 )
 
@@ -14,6 +15,8 @@
 type Receiver struct {
 	// Runner runs the requests.
 	Runner Runner
+	// Budget is charged for what the requests hold; nil means no limit.
+	Budget *keelbudget.Budget
 	Log    *logrus.Entry
 }
 
@@ -24,7 +27,15 @@
 		rc.refuse(s, keel.Refuse(keel.NotRun, keel.ReasonBadRequest, 0, "forwarded request: %v", err))
 		return
 	}
-	r.Deadline = time.Now().Add(r.Timeout)
+	now := time.Now()
+	account, err := rc.Budget.OpenRequest(now, r.size())
+	if err != nil {
+		rc.refuse(s, noRoom())
+		return
+	}
+	defer account.Close()
+	r.account = account
+	r.Deadline = now.Add(r.Timeout)
 	if r.ContentLength != 0 {
 		r.Body = &chunkReader{r: keel.NewCBORReader(s)}
 	}
@@ -40,6 +51,19 @@
 	rc.send(s, r, answer)
 }
 
+// size returns what a forwarded request holds, in bytes, without its body.
+func (r *Request) size() int64 {
+	h := headerSize{bytes: len(r.URI), lines: len(r.Header)}
+	for _, f := range r.Header {
+		h.bytes += len(f.Name) + len(f.Value)
+	}
+	n := int64(requestBytes) + h.cost()
+	if r.ContentLength != 0 {
+		n += streamBytes
+	}
+	return n
+}
+
 func (rc *Receiver) refuse(s keel.Stream, refusal *keel.Refusal) {
 	if err := keel.NewCBORWriter(s).Write(&answerHead{Refusal: refusal}); err != nil {
 		s.Cancel()
