keelinstance, keelconfig: metrics, log line, dump and check of what callers hold

Cause: an operator could not see that callers gave way, and settings could allow a request that the budget has no room for.

Change: gauges and a section of the dump for serve, the log line of steer there as well, a fault of the settings if the largest legal header or keyed body does not fit memory.limit_bytes. The check of a caller's connection asks the kernel once instead of twice.

Measured: TestParse, with the new cases.

--- a/keelbudget/budget.go
+++ b/keelbudget/budget.go
@@ -349,14 +349,17 @@
 type Usage struct {
 	// Held is the memory that is charged, in bytes, and Large the part of it that is held by
 	// accounts which are not ordinary.
-	Held, Large int64
+	Held  int64 `json:"held_bytes"`
+	Large int64 `json:"large_bytes"`
 	// Limit is the memory that may be held, in bytes.
-	Limit int64
+	Limit int64 `json:"limit_bytes"`
 	// Connections is the number of open connections, MaxConnections its limit.
-	Connections, MaxConnections int
+	Connections    int `json:"connections"`
+	MaxConnections int `json:"max_connections"`
 	// Evicted is the number of accounts that had to give way so far, and Refused that of
 	// charges and connections for which there was no room.
-	Evicted, Refused uint64
+	Evicted uint64 `json:"evicted"`
+	Refused uint64 `json:"refused"`
 }
 
 // Usage returns what the accounts hold now.
--- a/keelbudget/share.go
+++ b/keelbudget/share.go
@@ -24,6 +24,10 @@
 	Clients, Endpoints int
 }
 
+// Fits reports whether a single request that holds a number of bytes, which is not ordinary,
+// finds room while nothing else is held.
+func (s Share) Fits(held int64) bool { return held <= s.Bytes/largeDivisor*largeDividend }
+
 // ShareOf divides the memory of a process, in bytes, and its descriptors. A memory of 0 means
 // [DefaultMemory].
 func ShareOf(memory int64, descriptors int) Share {
--- a/keelconfig/check.go
+++ b/keelconfig/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 )
 
 // Ranges of the values that settings may have.
@@ -21,6 +22,11 @@
 	minLimitBytes     = 64 << 20
 	maxLimitBytes     = 1 << 40
 
+	// What a request holds for each byte of its header, if its fields are short, and of a body
+	// that is buffered, while the buffer grows.
+	heldPerHeaderByte = 128
+	heldPerKeyedByte  = 2
+
 	minHeartbeat = keel.Duration(50 * time.Millisecond)
 	maxHeartbeat = keel.Duration(time.Minute)
 	minLookupTTL = keel.Duration(100 * time.Millisecond)
@@ -53,6 +59,10 @@
 	fs.Under("limits", s.Limits.check())
 	fs.Under("timing", s.Timing.check())
 	fs.Under("memory", s.Memory.check())
+	share := keelbudget.ShareOf(s.Memory.LimitBytes, 0)
+	if held := max(heldPerHeaderByte*int64(s.Limits.MaxHeaderBytes), heldPerKeyedByte*s.Limits.MaxKeyedBodyBytes); !share.Fits(held) {
+		fs.Add("memory.limit_bytes", "is %d, too little for a request of the size that limits allows, which may hold %d bytes", s.Memory.LimitBytes, held)
+	}
 	return fs
 }
 
--- a/keelconfig/settings_test.go
+++ b/keelconfig/settings_test.go
@@ -62,6 +62,9 @@
 		{"duration without unit", `{"instance"`, `{"timing":{"heartbeat":"5"},"instance"`, "timing.heartbeat"},
 		{"duration out of range", `{"instance"`, `{"timing":{"heartbeat":"9h"},"instance"`, "timing.heartbeat"},
 		{"no time for a body", `{"instance"`, `{"timing":{"body_idle":"0s"},"instance"`, "timing.body_idle"},
+		{"much memory", `{"instance"`, `{"memory":{"soft_limit_bytes":0,"limit_bytes":2199023255552},"instance"`, "memory.limit_bytes"},
+		{"memory below a keyed body", `{"instance"`, `{"limits":{"max_keyed_body_bytes":67108864},"instance"`, "memory.limit_bytes"},
+		{"memory below a header", `{"instance"`, `{"limits":{"max_header_bytes":1048576},"instance"`, "memory.limit_bytes"},
 		{"grace below TTL", `{"instance"`, `{"timing":{"stop_grace":"2s"},"instance"`, "timing.stop_grace"},
 	}
 	for _, tt := range tests {
--- a/keelinstance/gauges.go
+++ b/keelinstance/gauges.go
@@ -46,6 +46,7 @@
 func (g *gauges) update() {
 	g.scope.Gauge("declarations_version").Update(float64(g.in.control.replica.Current().Version))
 	g.scope.Gauge("requests_in_flight").Update(float64(g.in.front.InFlight()))
+	g.updateCallers()
 	d := g.in.engine.Dump()
 	g.scope.Gauge("silent_connections_closed").Update(float64(d.SilentClosed))
 	for _, p := range d.Pools {
@@ -60,6 +61,17 @@
 	g.updateQuorum()
 }
 
+// updateCallers exports what callers hold.
+func (g *gauges) updateCallers() {
+	u := g.in.budget.Usage()
+	g.scope.Gauge("held_bytes").Update(float64(u.Held))
+	g.scope.Gauge("held_bytes_limit").Update(float64(u.Limit))
+	g.scope.Gauge("caller_connections").Update(float64(u.Connections))
+	g.scope.Gauge("caller_connections_limit").Update(float64(u.MaxConnections))
+	g.scope.Gauge("callers_evicted").Update(float64(u.Evicted))
+	g.scope.Gauge("callers_without_room").Update(float64(u.Refused))
+}
+
 // updateDrains records the duration of each drain once, after it has ended.
 func (g *gauges) updateDrains(drains []keelsteer.DrainState) {
 	draining := 0
--- a/keelinstance/group.go
+++ b/keelinstance/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc/pool"
 )
@@ -25,6 +26,7 @@
 	group.Go(in.guard.Run)
 	group.Go(in.engine.Run)
 	group.Go(in.front.Run)
+	group.Go(keelbudget.Reporter{Budget: in.budget, Log: in.log}.Run)
 	group.Go(in.runMetrics)
 	group.Go(in.runCurrentCheck)
 	if in.control.node != nil {
--- a/keelinstance/state.go
+++ b/keelinstance/state.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
 	keel "github.com/greengagekeel/greengagekeel"
+	"github.com/greengagekeel/greengagekeel/keelbudget"
 	"github.com/greengagekeel/greengagekeel/keeldeclare"
 	"github.com/greengagekeel/greengagekeel/keelmember"
 	"github.com/greengagekeel/greengagekeel/keeloperate"
@@ -25,6 +26,7 @@
 	Ready     string                     `json:"ready"`
 	Leaving   bool                       `json:"leaving"`
 	InFlight  int64                      `json:"in_flight"`
+	Callers   keelbudget.Usage           `json:"callers"`
 	Version   keel.Version               `json:"version"`
 	Current   CurrentVersionDump         `json:"current"`
 	Process   ProcessDump                `json:"process"`
@@ -70,6 +72,7 @@
 		Ready:     "ready",
 		Leaving:   in.leaving.Load(),
 		InFlight:  in.front.InFlight(),
+		Callers:   in.budget.Usage(),
 		Version:   in.control.replica.Current().Version,
 		Current:   in.current.dump(),
 		Process:   newProcessDump(),
--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -79,18 +79,21 @@
 	return c.peeker.closed()
 }
 
-// chargeUnread charges what the kernel holds of the bytes that the caller sent.
-func (c *callerConn) chargeUnread() {
+// chargeUnread charges what the kernel holds of the bytes that the caller sent. It reports
+// whether the caller has left, see [callerConn.left].
+func (c *callerConn) chargeUnread() (left bool) {
 	c.peekMu.Lock()
 	defer c.peekMu.Unlock()
+	pending, err := c.peeker.peek()
 	var n int64
-	if pending, err := c.peeker.peek(); pending > 0 && err == nil {
+	if pending > 0 && err == nil {
 		n = c.peeker.unread()
 	}
 	if n != c.unread {
 		c.account.Adjust(n - c.unread)
 		c.unread = n
 	}
+	return pending == 0 && err == nil
 }
 
 // Read reads from the caller.
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -33,11 +33,10 @@
 // the caller's bytes, and interrupts the writing of the answer if that continues past the
 // deadline.
 func (p *proxiedRequest) check(now time.Time) {
-	if p.conn.left() {
+	if p.conn.chargeUnread() {
 		p.conn.ended.Store(true)
 		p.ctx.cancel()
 	}
-	p.conn.chargeUnread()
 	deadline, ok := p.ctx.Deadline()
 	if !ok || now.Sub(deadline) <= checkInterval || p.conn.writes.Load()%2 == 0 {
 		return
