--- a/crowd/endpoint_test.go
+++ b/crowd/endpoint_test.go
@@ -24,6 +24,9 @@
 // that what the endpoint does not read stays at the instance.
 const receiveBufferBytes = 4 << 10
 
+// largeAnswerBytes is the size of a large answer.
+const largeAnswerBytes = 8 << 20
+
 func startEndpoint(t *testing.T) *endpoint {
 	t.Helper()
 	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
@@ -58,6 +61,14 @@
 		}
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, pathLarge) {
+		w.Header().Set("X-Greengagekeel-Response-Seal", "mark")
+		w.Header().Set("Content-Length", fmt.Sprint(largeAnswerBytes))
+		for range largeAnswerBytes / len(mebibyte) {
+			_, _ = w.Write(mebibyte) // an error ends the connection
+		}
+		return
+	}
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -27,7 +27,7 @@
 	shapes := headerShapes()
 	shapes = append(shapes, bodyShapes(pathOnce, "Keel-Service: once\r\nIdempotency-Key: key-NUMBER\r\n", keyedBytes)...)
 	shapes = append(shapes, uploadShapes()...)
-	shapes = append(shapes, silentShape(false))
+	shapes = append(shapes, unreadShape(), silentShape(false))
 	for _, s := range shapes {
 		t.Run(s.name, func(t *testing.T) { startServe(t).check(t, s.group) })
 	}
--- a/crowd/shapes_test.go
+++ b/crowd/shapes_test.go
@@ -13,13 +13,15 @@
 	pathHold = "/page/hold"
 	// pathUnread is that of requests whose bodies the endpoint does not read.
 	pathUnread = "/page/unread"
+	// pathLarge is that of requests with an answer of largeAnswerBytes.
+	pathLarge = "/page/large"
 	// pathOnce is that of requests that run at most once.
 	pathOnce = "/once/now"
 )
 
 // requestHead returns the header of a request without its empty line.
 func requestHead(g *target, method, path string, number int, further string) []byte {
-	return fmt.Appendf(nil, "%s %s%d HTTP/1.1\r\n%s%s", method, path, number, strings.ReplaceAll(g.fields, "NUMBER", fmt.Sprint(number)), further)
+	return fmt.Appendf(nil, "%s %s%d HTTP/1.1\r\n%s", method, path, number, strings.ReplaceAll(g.fields+further, "NUMBER", fmt.Sprint(number)))
 }
 
 // requests returns a function that returns whole headers.
@@ -132,6 +134,11 @@
 	}
 }
 
+// unreadShape is clients that do not read large answers.
+func unreadShape() shape {
+	return shape{"unread answers", group{clients: crowdSize, head: requests("GET", pathLarge, "")}}
+}
+
 // silentShape is more clients than there are descriptors, which send nothing.
 func silentShape(lookup bool) shape {
 	return shape{"silent clients", group{clients: silentClients, lookup: lookup}}
--- a/crowd/steer_test.go
+++ b/crowd/steer_test.go
@@ -22,7 +22,7 @@
 	shapes = append(shapes, bodyShapes(pathNow, "", bufferedBytes)...)
 	shapes = append(shapes, uploadShapes()...)
 	shapes = append(
-		shapes, silentShape(false), silentShape(true),
+		shapes, unreadShape(), silentShape(false), silentShape(true),
 		shape{"bodies at the look-up port", group{
 			clients: crowdSize, lookup: true, head: requests("POST", "/-/resolve", lengthField(3<<20)), pieces: [][]byte{mebibyte, mebibyte, mebibyte[1:]},
 		}},
