keelbudget, keelproxy: callers that don't read their answers are limited

Callers saw: 400 callers that asked for answers of 8 MiB and read nothing made an instance hold 756 MiB of 128 (steer) and 1035 (serve), for the time limit of their requests.

Cause: the kernel's buffers, as for uploads, on the side of the answer.

A streamed answer is charged now, and without room a caller that has read nothing for a second gives way. The quarter for ordinary requests is theirs whatever the others hold.

--- a/keelbudget/budget.go
+++ b/keelbudget/budget.go
@@ -30,6 +30,8 @@
 	// overshootDivisor sets how far the limits may be exceeded by accounts that are evicted
 	// and not yet closed.
 	overshootDivisor = 4
+	// minUnreadTime is how long a client that is being answered may pause.
+	minUnreadTime = time.Second
 	// minWait is added to the time that a client keeps its account waiting, so that the size
 	// decides between clients that send.
 	minWait = 250 * time.Millisecond
@@ -52,8 +54,11 @@
 	Idle State = iota
 	// Receiving means that the request is not complete and has not been passed on.
 	Receiving
-	// Running means that the request was passed on or is being answered.
+	// Running means that the request was passed on.
 	Running
+	// Answering means that the answer is being sent. The account may be evicted only while its
+	// client has not read for minUnreadTime.
+	Answering
 )
 
 // Budget is the memory and the connections of a process. It is safe for concurrent use.
@@ -79,7 +84,7 @@
 // nil account.
 type Account struct {
 	budget     *Budget
-	evict      func()
+	evict      func(State)
 	connection bool
 	state      State
 	held       int64
@@ -89,10 +94,10 @@
 	closed     bool
 }
 
-// Open adds the account of a connection that holds a number of bytes. evict is called when it
+// Open adds the account of a connection that holds a number of bytes. evict is called with its state when it
 // has to give way; it must not block or call the budget, and is followed by Close. If nothing
 // can give way, Open returns [ErrNoRoom].
-func (b *Budget) Open(now time.Time, held int64, evict func()) (*Account, error) {
+func (b *Budget) Open(now time.Time, held int64, evict func(State)) (*Account, error) {
 	if b == nil {
 		return nil, nil
 	}
@@ -157,15 +162,24 @@
 }
 
 // Adjust adds n bytes, which may be negative, that the account holds already. It can't fail:
-// others find less room from then on.
-func (a *Account) Adjust(n int64) {
+// accounts whose clients don't read their answers give way, and others find less room.
+func (a *Account) Adjust(now time.Time, n int64) {
 	if a == nil {
 		return
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	if !a.closed {
-		a.budget.add(a, max(n, -a.held))
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		return
+	}
+	b.add(a, max(n, -a.held))
+	for n > 0 && b.held-b.leaving > b.cfg.Bytes {
+		victim := b.heaviestUnread(now)
+		if victim == nil {
+			return
+		}
+		b.evict(victim)
 	}
 }
 
@@ -277,7 +291,7 @@
 		b.leavingConnections++
 	}
 	b.evicted++
-	a.evict()
+	a.evict(a.state)
 }
 
 // makeRoom evicts accounts until a may hold n bytes more. It returns false if a itself has to
@@ -287,10 +301,13 @@
 		return true
 	}
 	limit, heldMost := b.cfg.Bytes, b.cfg.Bytes+b.cfg.Bytes/overshootDivisor
+	grown := largePart(a.held+n) - largePart(a.held)
+	if grown == 0 && b.held-b.large+n <= limit-limit/largeDivisor*largeDividend {
+		return true // in the part that is reserved for ordinary accounts
+	}
 	if b.held+n > heldMost {
 		return false // until the evicted accounts have been closed
 	}
-	grown := largePart(a.held+n) - largePart(a.held)
 	for b.held-b.leaving+n > limit || grown > 0 && b.large-b.largeLeaving+grown > limit/largeDivisor*largeDividend {
 		victim := b.heaviest(now, a, n, grown > 0)
 		if victim == nil || victim == a {
@@ -307,7 +324,23 @@
 func (b *Budget) heaviest(now time.Time, a *Account, n int64, large bool) *Account {
 	worst, most := a, weight(now, a, a.held+n)
 	for v := range b.accounts {
-		if v == a || !v.evictable() || large && largePart(v.held) == 0 {
+		if v == a || !v.evictable(now) || large && largePart(v.held) == 0 {
+			continue
+		}
+		if w := weight(now, v, v.held); w > most {
+			worst, most = v, w
+		}
+	}
+	return worst
+}
+
+// heaviestUnread returns the account with the largest weight among those whose clients don't read
+// their answers, or nil. The caller holds mu.
+func (b *Budget) heaviestUnread(now time.Time) *Account {
+	var worst *Account
+	var most float64
+	for v := range b.accounts {
+		if v.state != Answering || !v.evictable(now) {
 			continue
 		}
 		if w := weight(now, v, v.held); w > most {
@@ -323,7 +356,7 @@
 	var worst *Account
 	var longest time.Duration
 	for v := range b.accounts {
-		if !v.connection || !v.evictable() || v.waitsSince.IsZero() {
+		if !v.connection || !v.evictable(now) || v.waitsSince.IsZero() {
 			continue
 		}
 		if wait := now.Sub(v.waitsSince); worst == nil || wait > longest {
@@ -334,7 +367,15 @@
 }
 
 // evictable reports whether the account may be evicted.
-func (a *Account) evictable() bool { return !a.evicted && a.state != Running }
+func (a *Account) evictable(now time.Time) bool {
+	switch a.state {
+	case Running:
+		return false
+	case Answering:
+		return !a.evicted && !a.waitsSince.IsZero() && now.Sub(a.waitsSince) >= minUnreadTime
+	}
+	return !a.evicted
+}
 
 // weight returns how urgently an account that holds a number of bytes should give way.
 func weight(now time.Time, a *Account, held int64) float64 {
--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -90,7 +90,7 @@
 		n = c.peeker.unread()
 	}
 	if n != c.unread {
-		c.account.Adjust(n - c.unread)
+		c.account.Adjust(c.server.cfg.Clock.Now(), n-c.unread)
 		c.unread = n
 	}
 	return pending == 0 && err == nil
@@ -211,9 +211,24 @@
 }
 
 // evict makes the connection give way to others. It is called by the budget.
-func (c *callerConn) evict() {
+func (c *callerConn) evict(s keelbudget.State) {
 	c.evicted.Store(true)
-	_ = c.Conn.SetReadDeadline(pastDeadline) // a closed connection needs no deadline
+	// A closed connection needs no deadline.
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	if s == keelbudget.Answering {
+		_ = c.Conn.SetWriteDeadline(pastDeadline)
+	}
+}
+
+// holdAnswer charges what is held of an answer that is streamed, while it is sent. It was made
+// already, so others give way to it rather than the reverse.
+func (c *callerConn) holdAnswer(length int64) {
+	n := int64(answerBytes)
+	if length >= 0 {
+		n = min(n, length)
+	}
+	c.account.Adjust(c.server.cfg.Clock.Now(), n)
+	c.account.SetState(c.server.cfg.Clock.Now(), keelbudget.Answering)
 }
 
 // handle reads the header of a request and answers the request. lines is the number of lines
--- a/keelproxy/monitor.go
+++ b/keelproxy/monitor.go
@@ -37,6 +37,8 @@
 // connProgress is the monitor's state of a connection.
 type connProgress struct {
 	reads, writes countSample
+	// writeSince is since when the count of writes has been the same, during a request as well.
+	writeSince time.Time
 	// headerStart is when a request started whose header is incomplete.
 	headerStart time.Time
 	// expired is set once the read deadline was moved to the past.
@@ -110,6 +112,7 @@
 		if w.writeStalled(c) {
 			_ = c.SetWriteDeadline(pastDeadline)
 		}
+		c.account.SetWaitsSince(c.waitsSince())
 	}
 }
 
@@ -141,10 +144,8 @@
 		c.progress.headerStart = now
 	}
 	if reads%2 == 0 {
-		c.account.SetWaitsSince(time.Time{})
 		return false
 	}
-	c.account.SetWaitsSince(c.progress.reads.since)
 	limit := limits.IdleTimeout
 	if active {
 		limit = w.bodyIdle
@@ -156,6 +157,18 @@
 	return limit > 0 && now.Sub(c.progress.reads.since) > limit || !headerStart.IsZero() && now.Sub(headerStart) > headerTimeout
 }
 
+// waitsSince returns since when the process waits for the caller to send or to read, or the zero
+// time if it does not.
+func (c *callerConn) waitsSince() time.Time {
+	switch {
+	case c.progress.writes.n%2 == 1:
+		return c.progress.writeSince
+	case c.progress.reads.n%2 == 1:
+		return c.progress.reads.since
+	}
+	return time.Time{}
+}
+
 // expire ends a pending read of the caller's bytes, if the connection is still in the state
 // that it was found in.
 func (c *callerConn) expire() {
@@ -174,7 +187,11 @@
 func (w *callerMonitor) writeStalled(c *callerConn) bool {
 	now := w.clock.Now()
 	writes := c.writes.Load()
-	if c.progress.writes.update(writes) || c.current.Load() != nil {
+	changed := c.progress.writes.update(writes)
+	if changed {
+		c.progress.writeSince = w.clock.Now()
+	}
+	if changed || c.current.Load() != nil {
 		c.progress.writes.since = w.clock.Now()
 	}
 	return writes%2 == 1 && w.bodyIdle > 0 && now.Sub(c.progress.writes.since) > w.bodyIdle
--- a/keelproxy/proxied.go
+++ b/keelproxy/proxied.go
@@ -79,6 +79,7 @@
 		h.Set(d.ServedBy, string(a.Domain))
 	}
 	p.result = Result{Status: a.Status, Domain: a.Domain}
+	p.conn.holdAnswer(a.ContentLength)
 	p.stream = answerStream{p: p, answer: a}
 	body := &p.stream
 	fctx.Response.SetBodyStream(body, int(a.ContentLength))
--- a/keelproxy/socket.go
+++ b/keelproxy/socket.go
@@ -15,6 +15,10 @@
 	sendBufferBytes    = 64 << 10
 )
 
+// answerBytes is what is charged for an answer that is streamed: what the kernel holds on both
+// sides while the caller does not read.
+const answerBytes = 2 * (receiveBufferBytes + sendBufferBytes)
+
 // LimitBuffers limits what the kernel holds for the connections that ln accepts from now on.
 // It does nothing if ln is no socket.
 func LimitBuffers(ln net.Listener) error {
