keelconfig, keelrole: the operating system tells the descriptors, the start line the limits

Cause: the new setting descriptors of steer would be unknown to the build before, which does not start with a settings file that has it; during an upgrade both builds may get files of one template.

Change: the setting is gone before any landing. An entry instance logs its limits when it starts.

--- a/keelbudget/share.go
+++ b/keelbudget/share.go
@@ -40,15 +40,11 @@
 	}
 }
 
-// Descriptors returns how many descriptors the process may open: the limit of the operating
-// system, or a lower one that the settings name. 0 means that they name none.
-func Descriptors(named int) int {
+// Descriptors returns how many descriptors the operating system lets the process open.
+func Descriptors() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxDescriptors {
-		limit.Cur = maxDescriptors
-	}
-	if named > 0 {
-		return min(named, int(limit.Cur))
+		return maxDescriptors
 	}
 	return int(limit.Cur)
 }
--- a/keelconfig/steer.go
+++ b/keelconfig/steer.go
@@ -58,9 +58,6 @@
 	PeerTrust PeerTrust `json:"peer_trust"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `json:"memory_mb,omitempty"`
-	// Descriptors is the number of file descriptors that the process may open; 0 means the
-	// limit of the operating system.
-	Descriptors int `json:"descriptors,omitempty"`
 	// LinkMbps is the rate of the instance's network link in each direction, in
 	// megabits per second; 0 means that it is not known.
 	LinkMbps float64     `json:"link_mbps,omitempty"`
@@ -176,8 +173,8 @@
 	if s.Timing.HeartbeatMS <= 0 || s.Timing.GraceS <= 0 || s.Timing.LookupTTLS <= 0 {
 		fs.Add("timing", "heartbeat_ms, grace_s and lookup_ttl_s must be more than 0")
 	}
-	if s.MemoryMB < 0 || s.Descriptors < 0 {
-		fs.Add("memory_mb", "memory_mb and descriptors must not be negative")
+	if s.MemoryMB < 0 {
+		fs.Add("memory_mb", "is %d, must not be negative", s.MemoryMB)
 	}
 	if s.LinkMbps < 0 {
 		fs.Add("link_mbps", "is %v, must not be negative", s.LinkMbps)
--- a/keelinstance/instance.go
+++ b/keelinstance/instance.go
@@ -171,7 +171,7 @@
 func (in *Instance) assemble() {
 	s := in.cfg.Settings
 	clock := clockwork.NewRealClock()
-	share := keelbudget.ShareOf(s.Memory.LimitBytes, keelbudget.Descriptors(0))
+	share := keelbudget.ShareOf(s.Memory.LimitBytes, keelbudget.Descriptors())
 	in.budget = keelbudget.New(keelbudget.Config{Bytes: share.Bytes, Connections: min(share.Clients, s.Limits.MaxConnections)})
 	in.fetcher = keeldeclare.NewFetcher(keeldeclare.FetcherConfig{
 		Replica: in.control.replica, Transport: in.peer, Clock: clock, Log: in.log,
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -91,7 +91,7 @@
 	}
 	calls := keelpeer.NewCallClient(keelpeer.CallClientConfig{Keys: keys})
 	in := &Entry{cfg: cfg, calls: calls, metrics: newMetrics(s), stop: make(stopSignal)}
-	share := keelbudget.ShareOf(s.MemoryBytes(), keelbudget.Descriptors(s.Descriptors))
+	share := keelbudget.ShareOf(s.MemoryBytes(), keelbudget.Descriptors())
 	in.budget = keelbudget.New(keelbudget.Config{Bytes: share.Bytes, Connections: share.Clients})
 	in.follower = keelsync.NewFollower(keelsync.FollowerConfig{
 		Self: keelworld.Node{
@@ -182,8 +182,10 @@
 		group.Go(appServer{newOperatorApp(in.metrics, in.gaugeValues, in.stateDump), at}.run)
 	}
 	group.Go(in.stop.wait)
+	usage := in.budget.Usage()
 	in.cfg.Log.WithFields(logrus.Fields{
 		"caller": in.cfg.Settings.Listen.Caller.String(), "domain": in.cfg.Settings.Domain,
+		"held_bytes_limit": usage.Limit, "caller_connections_limit": usage.MaxConnections,
 	}).Info("entry instance started")
 	err := ignoreStopped(group.Wait())
 	in.cfg.Log.WithField("requests", in.front.InFlight()).Info("entry instance stopped")
