keelrole: the ports of look-ups and readiness finish their requests when the instance stops

Cause: with the server of the caller port they ended with the process.

A connection that has to give way after its answer says so in it, and a listener that is served after a shutdown is closed.

--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -264,7 +264,7 @@
 		c.account.SetState(s.cfg.Clock.Now(), keelbudget.Running)
 	}
 	s.cfg.Handler(fctx)
-	keepAlive = !fctx.Request.Header.ConnectionClose() && !fctx.Response.ConnectionClose() && !s.stopping.Load()
+	keepAlive = !fctx.Request.Header.ConnectionClose() && !fctx.Response.ConnectionClose() && !s.stopping.Load() && !c.evicted.Load()
 	if body != nil && !body.atEnd.Load() {
 		c.requestUnread.Store(true) // the rest would be parsed as the next request
 		keepAlive = false
--- a/keelproxy/server.go
+++ b/keelproxy/server.go
@@ -87,9 +87,9 @@
 
 // Serve serves callers on ln until [Server.Shutdown], or until ln fails.
 func (s *Server) Serve(ln net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, ln)
-	s.mu.Unlock()
+	if !s.register(ln) {
+		return nil
+	}
 	for {
 		nc, err := ln.Accept()
 		switch {
@@ -103,6 +103,18 @@
 	}
 }
 
+// register adds a listener that a shutdown closes. After one it closes ln and returns false.
+func (s *Server) register(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping.Load() {
+		_ = ln.Close() // nothing was accepted
+		return false
+	}
+	s.listeners = append(s.listeners, ln)
+	return true
+}
+
 // serve starts to serve a connection, unless there is no room for it.
 func (s *Server) serve(nc net.Conn) {
 	c := &callerConn{
@@ -127,8 +139,8 @@
 
 // Shutdown stops listening, closes idle connections and waits until every request has ended.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stopping.Store(true)
 	s.mu.Lock()
+	s.stopping.Store(true)
 	for _, ln := range s.listeners {
 		_ = ln.Close() // it accepts nothing more in any case
 	}
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -129,26 +129,6 @@
 	return in, err
 }
 
-// limits returns the limits on requests in force.
-func (in *Entry) limits() keelproxy.Limits {
-	l := in.follower.View().Limits
-	return keelproxy.Limits{
-		HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
-	}
-}
-
-// listenCallers opens a port that callers reach.
-func (in *Entry) listenCallers(at netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp4", at.String())
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", at)
-	}
-	if err := keelproxy.LimitBuffers(ln); err != nil {
-		in.cfg.Log.WithError(err).WithField("address", at.String()).Warn("the buffers of callers' connections are not limited")
-	}
-	return keelpeer.AcceptRetrier{Listener: ln}, nil
-}
-
 // instanceName returns the name of the instance among its peers: its address.
 func instanceName(s *keelconfig.SteerSettings) keel.InstanceName {
 	return keel.InstanceName(s.Address.String())
@@ -315,50 +295,6 @@
 	return nil
 }
 
-// callerAppServer serves the HTTP application of an entry instance on an address that callers
-// reach.
-type callerAppServer struct {
-	in   *Entry
-	addr netip.AddrPort
-}
-
-// maxAppBodyBytes limits the body of a look-up, which has none.
-const maxAppBodyBytes = 4 << 10
-
-func (s callerAppServer) run(ctx context.Context) error {
-	ln, err := s.in.listenCallers(s.addr)
-	if err != nil {
-		return err
-	}
-	server := keelproxy.NewServer(keelproxy.ServerConfig{
-		Handler: s.in.cfg.App(s.in).Handler(), Limits: s.limits, BodyIdle: bodyIdleTimeout, Budget: s.in.budget, Log: s.in.cfg.Log,
-	})
-	group := pool.New().WithErrors().WithContext(ctx).WithCancelOnError()
-	group.Go(server.Run)
-	group.Go(func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-		defer stop()
-		if err := server.Serve(ln); ctx.Err() == nil {
-			return err
-		}
-		return nil
-	})
-	return group.Wait()
-}
-
-// limits returns the limits on look-ups.
-func (s callerAppServer) limits() keelproxy.Limits {
-	l := s.in.limits()
-	if l.HeaderBytes == 0 {
-		l.HeaderBytes = maxHeaderBytes
-	}
-	if l.IdleTimeout == 0 {
-		l.IdleTimeout = callerIdleTimeout
-	}
-	l.BodyBytes = maxAppBodyBytes
-	return l
-}
-
 // appServer serves an HTTP application on one address.
 type appServer struct {
 	app  *fiber.App
