--- a/keelbudget/budget.go
+++ b/keelbudget/budget.go
@@ -4,8 +4,9 @@
 // An account stands for one client: its connection and the request on it. What the account
 // holds is charged to it before it is allocated. When there is no room, the account that
 // holds much or that its client keeps waiting is evicted first; one whose request runs is
-// never evicted. A part of the memory is reserved for accounts that hold little, so that an
-// ordinary request finds room however much the large ones hold.
+// never evicted, and one whose answer is sent only if its client does not read. A part of the
+// memory is reserved for accounts that hold little, so that an ordinary request finds room
+// however much the large ones hold.
 //
 // A [Budget] decides only. It reads no clock and closes no connection: an account has a
 // function that does so.
@@ -45,7 +46,7 @@
 	Connections int
 }
 
-// State says what an account waits for.
+// State is the phase of the request of an account.
 type State int
 
 // States of an account.
@@ -94,9 +95,9 @@
 	closed     bool
 }
 
-// Open adds the account of a connection that holds a number of bytes. evict is called with its state when it
-// has to give way; it must not block or call the budget, and is followed by Close. If nothing
-// can give way, Open returns [ErrNoRoom].
+// Open adds the account of a connection that holds a number of bytes. evict is called with its
+// state when it has to give way; it must not block or call the budget, and is followed by Close.
+// If nothing can give way, Open returns [ErrNoRoom].
 func (b *Budget) Open(now time.Time, held int64, evict func(State)) (*Account, error) {
 	if b == nil {
 		return nil, nil
@@ -208,7 +209,7 @@
 // ReleaseTo returns what the account holds beyond n bytes.
 func (a *Account) ReleaseTo(n int64) { a.Release(a.Held() - n) }
 
-// SetState records what the account waits for, from now on.
+// SetState records the phase of the account's request, from now on.
 func (a *Account) SetState(now time.Time, s State) {
 	if a == nil {
 		return
--- a/keelproxy/callerconn.go
+++ b/keelproxy/callerconn.go
@@ -193,10 +193,9 @@
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
 	c.active.Store(false)
-	if c.evicted.Load() || c.server.stopping.Load() && c.br.Buffered() == 0 {
-		return false
-	}
-	return c.Conn.SetReadDeadline(time.Time{}) == nil
+	err := c.Conn.SetReadDeadline(time.Time{})
+	// Checked last, since an eviction sets the flag and then the deadline.
+	return err == nil && !c.evicted.Load() && (!c.server.stopping.Load() || c.br.Buffered() > 0)
 }
 
 // closeIdle closes the connection, unless a request is in progress. It reports whether it does.
