--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 )
@@ -60,8 +61,13 @@
 				return nil, fmt.Errorf("a backend got no acknowledgement")
 			}
 		}
+		ackedAt := time.Now()
+		if os.Getenv("BUSY") == "1" { // shows that an entry process with another request keeps the rule
+			time.Sleep(500 * time.Millisecond)
+			c.sendLater(near, http.MethodGet, "/archive/2", "", 12*time.Second)
+		}
 		// Both serve for drainMs and a little longer. The one that runs the request exits first.
-		time.Sleep(drainTime + 400*time.Millisecond)
+		time.Sleep(time.Until(ackedAt.Add(drainTime + 400*time.Millisecond)))
 		slices.SortFunc(old, func(a, b *backend) int { return len(b.list()) - len(a.list()) })
 		old[0].exit()
 		time.Sleep(1200 * time.Millisecond)
