--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,6 +18,7 @@
 var scenarios = map[string]scenario{
 	"cold-after-evacuation": coldAfterEvacuation,
 	"resend-to-draining":    resendToDraining,
+	"homes-after-restart":   homesAfterRestart,
 }
 
 const (
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -35,7 +35,7 @@
 	coldSlack         = 5
 	coldPerS          = 4.9
 	coldStart         = 3 * time.Second
-	evacuationTime    = 5 * time.Second
+	configApply       = 2000 * time.Millisecond
 )
 
 // process is a process of the system.
@@ -234,11 +234,12 @@
 	name, prefix, kind, service   string
 	timeoutMS, targetMS, attempts int
 	affinity                      bool
+	homes                         []string
 }
 
 const host = "salon.example"
 
-// configure sends the first configuration.
+// configure sends the next version of routes and services, and of the limits with the first services.
 func (s *system) configure(routes []route, services ...string) error {
 	s.version++
 	version := fmt.Sprintf("%08x", s.version)
@@ -253,7 +254,7 @@
 	for _, r := range routes {
 		item("routes", r.name, map[string]any{
 			"host": host, "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMS, "targetLatencyMs": r.targetMS, "priority": 2,
-			"service": r.service, "attempts": r.attempts, "sessionAffinity": r.affinity, "homeRegions": []string{},
+			"service": r.service, "attempts": r.attempts, "sessionAffinity": r.affinity, "homeRegions": append([]string{}, r.homes...),
 		})
 	}
 	for _, name := range services {
@@ -262,7 +263,9 @@
 			"coldStartS": coldStart.Seconds(), "coldPerS": coldPerS,
 		})
 	}
-	item("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000})
+	if len(services) > 0 {
+		item("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000})
+	}
 	body, err := json.Marshal(map[string]any{"upsert": map[string]any{"resources": items}, "remove": map[string]any{"routes": []any{}}})
 	if err != nil {
 		return err
@@ -291,3 +294,22 @@
 	}
 	return nil
 }
+
+// voterStatus is a part of the state that a control process shows at its operator port.
+type voterStatus struct {
+	Quorum struct {
+		Leader   string `json:"leader"`
+		Last     uint64 `json:"last"`
+		Snapshot uint64 `json:"snapshot"`
+	} `json:"quorum"`
+}
+
+func (s *system) status(p *process) (st voterStatus, err error) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + s.at(p.ip, "operator") + "/v1/state")
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	return st, json.NewDecoder(resp.Body).Decode(&st)
+}
