--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 	"cold-after-evacuation": coldAfterEvacuation,
 	"resend-to-draining":    resendToDraining,
 	"homes-after-restart":   homesAfterRestart,
+	"homes-after-freeze":    homesAfterFreeze,
 }
 
 const (
