--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"resend-to-draining":    resendToDraining,
 	"homes-after-restart":   homesAfterRestart,
 	"homes-after-freeze":    homesAfterFreeze,
+	"cold-again":            coldAgain,
 }
 
 const (
