--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 	echo "build with the build line of deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec target/standin-2 resend-to-draining . review/8/record.txt
+exec target/standin-2 stale-order . review/8/record.txt
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"homes-after-restart":   homesAfterRestart,
 	"homes-after-freeze":    homesAfterFreeze,
 	"cold-again":            coldAgain,
+	"stale-order":           staleOrder,
 }
 
 const (
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -36,6 +36,7 @@
 	coldPerS          = 4.9
 	coldStart         = 3 * time.Second
 	configApply       = 2000 * time.Millisecond
+	evacuationTime    = 5 * time.Second
 )
 
 // process is a process of the system.
