keelsync, keelworld, platform: late orders on open connections change nothing

Cause: a control instance took the caller of an order for waiting as long as its connection was open. It proposed an order that was found outdated once more, with the index of the newer orders. A caller that gives up need not close its connection, and the end of a connection may arrive late. The index was also read after a pause.

Change: an order is proposed with an index at which its caller surely waited, 0 at first, and only once. No clock and no state of a connection is part of the decision. Leaves without a start and patches while one was refused take the same way; announcements and leaves with a start are ordered by incarnation and sequence. Fields in the log and in messages are unchanged, so that other builds read and apply them as before.

--- a/keelrole/control.go
+++ b/keelrole/control.go
@@ -61,7 +61,9 @@
 
 // stateDump returns the state that the operator port shows.
 func (in *Control) stateDump() any {
-	return map[string]any{"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "quorum": in.voter.Status()}
+	return map[string]any{
+		"name": in.cfg.Settings.Name, "domain": in.cfg.Settings.Domain, "quorum": in.voter.Status(), "drained": in.voter.Drained(),
+	}
 }
 
 // NewControl opens the stored state and the peer port.
--- a/keelsync/batch.go
+++ b/keelsync/batch.go
@@ -163,22 +163,21 @@
 // Depart records that the current incarnation of an endpoint leaves and returns
 // once that is committed. After an error it may or may not be committed. The
 // incarnation is determined when the command is applied, since this voter may lag
-// behind the log. callerLeft reports whether the endpoint has given the call up, as in
-// [Voter.Submit]: a later incarnation must not leave because of it.
-func (v *Voter) Depart(ctx context.Context, id string, callerLeft func() bool) error {
-	known := uint64(0)
-	for {
-		e := keelworld.Endpoint{ID: id, State: keelworld.EndpointLeft, AsOf: max(v.machine.index(), known)}
-		if callerLeft != nil && callerLeft() {
-			return ErrCallerLeft
-		}
-		b := v.batcher.addEndpoint(&e)
-		if err := b.wait(ctx); err != nil {
-			return err
-		}
-		if !slices.Contains(b.result.OutdatedLeaves, id) {
-			return nil
-		}
-		known = b.result.Index
+// behind the log. asOf is a log index that was reached while the endpoint still waited for
+// the answer, or 0. If a later entry registered the incarnation, the result is outdated, as
+// in [Voter.Submit]: a later incarnation must not leave because of a notice that was given
+// up. callerLeft reports whether the endpoint has closed its connection.
+func (v *Voter) Depart(ctx context.Context, id string, asOf uint64, callerLeft func() bool) (keelworld.Result, error) {
+	e := keelworld.Endpoint{ID: id, State: keelworld.EndpointLeft, AsOf: asOf}
+	if index, ok := v.machine.outdates(&keelworld.Command{Endpoints: []keelworld.Endpoint{e}}); ok {
+		return keelworld.Result{Outdated: true, Index: index}, nil
+	}
+	if callerLeft != nil && callerLeft() {
+		return keelworld.Result{}, ErrCallerLeft
+	}
+	b := v.batcher.addEndpoint(&e)
+	if err := b.wait(ctx); err != nil {
+		return keelworld.Result{}, err
 	}
+	return keelworld.Result{Index: b.result.Index, Outdated: slices.Contains(b.result.OutdatedLeaves, id)}, nil
 }
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -239,11 +239,12 @@
 	}
 }
 
-// index returns the index of the last applied entry.
-func (m *stateMachine) index() uint64 {
+// outdates reports whether the local state has outdated an order or notice of leaving, and
+// the index of that state.
+func (m *stateMachine) outdates(c *keelworld.Command) (index uint64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.state.Index()
+	return m.state.Index(), m.state.IsOutdated(c)
 }
 
 // withState calls f with the state while mu is held. f must not retain the state.
--- a/keelsync/propose.go
+++ b/keelsync/propose.go
@@ -19,7 +19,7 @@
 )
 
 // ErrCallerLeft means that the caller of an order had closed its connection before a
-// leader got the order. What was submitted before may still take effect.
+// leader received the order. What was submitted before may still take effect.
 var ErrCallerLeft = errors.New("the caller left before the order was submitted")
 
 // ErrNoLeader means that no leader confirmed a command in time. The command may
@@ -28,15 +28,19 @@
 
 // Submit commits a command and returns its result. It retries until ctx ends and
 // then returns [ErrNoLeader]. A command may be proposed more than once but takes
-// effect only once. callerLeft reports whether the caller has given the command up, in
-// which case it is not submitted any more and Submit returns [ErrCallerLeft]; nil means
-// that there is no such caller.
+// effect only once. callerLeft reports whether the caller has closed its connection, in
+// which case the command is not submitted any more and Submit returns [ErrCallerLeft]; nil
+// means that there is no such caller.
+//
+// If the result is outdated, the command changed nothing. A caller that still waits may
+// submit it with the index of the result as [keelworld.Command.AsOf]. Submit does not: a
+// caller that has given up may leave its connection open, and this voter may have stood
+// still or got the order late.
 func (v *Voter) Submit(ctx context.Context, c *keelworld.Command, callerLeft func() bool) (keelworld.Result, error) {
-	known := uint64(0) // index of an entry that is known to be committed
+	if index, ok := v.machine.outdates(c); ok {
+		return keelworld.Result{Outdated: true, Index: index}, nil
+	}
 	for {
-		// The index is read first: the caller waited at that time, so that entries up
-		// to it can't hold what the caller sent after it had given up.
-		c.AsOf = max(v.machine.index(), known)
 		if callerLeft != nil && callerLeft() {
 			return keelworld.Result{}, ErrCallerLeft
 		}
@@ -44,15 +48,8 @@
 		// been applied already.
 		c.ID = v.newCommandID()
 		r, err := v.submitOnce(ctx, c)
-		if err == nil && !r.Outdated {
-			return *r, nil
-		}
 		if err == nil {
-			known = r.Index
-			if ctx.Err() != nil {
-				return keelworld.Result{}, errors.Wrap(ctx.Err(), "submit an order that others have outdated")
-			}
-			continue
+			return *r, nil
 		}
 		select {
 		case <-ctx.Done():
--- a/keelsync/voter.go
+++ b/keelsync/voter.go
@@ -162,6 +162,13 @@
 // Status returns the state of the quorum node.
 func (v *Voter) Status() keelquorum.Status { return v.node.Status() }
 
+// Drained returns the drained failure domains by the state that this voter has applied, in the
+// order of their names.
+func (v *Voter) Drained() (domains []keel.DomainName) {
+	v.machine.withState(func(s *keelworld.State) { domains = s.Drained() })
+	return domains
+}
+
 // SetSeeds replaces the instances that receive join requests while no leader is
 // known.
 func (v *Voter) SetSeeds(seeds []netip.Addr) { v.seeds.Store(&seeds) }
--- a/keelworld/command.go
+++ b/keelworld/command.go
@@ -17,10 +17,11 @@
 	// Nodes holds instances that were added, changed or stopped.
 	Nodes []Node `cbor:"5,keyasint,omitempty"`
 	// AsOf is a log index that was reached while the caller of a patch or drain still
-	// waited for the answer. A caller that gives up sends its order to another voter,
-	// and may then send others. So an order is outdated, and changes nothing, if a
-	// later entry than AsOf holds an order with which it can't be reordered: one about
-	// the same failure domain, or a patch that was refused.
+	// waited for the answer; 0 if none is known. A caller that gives up sends its order to
+	// another voter, and may then send others. So an order is outdated, and changes nothing,
+	// if a later entry than AsOf holds an order with which it can't be reordered: one about
+	// the same failure domain, or a patch that was refused. Only the caller can show that it
+	// waits, by sending the order again with a newer index: an open connection doesn't.
 	AsOf uint64 `cbor:"6,keyasint,omitempty"`
 	// Answered holds the fingerprints of requests that an endpoint has answered, whose
 	// crashes no longer count, and Crashes new crashes.
@@ -65,7 +66,8 @@
 	// Conflict is whether the patch was refused because an item already exists
 	// with the same version and different content.
 	Conflict bool `cbor:"2,keyasint,omitempty"`
-	// Index is the index of the command's log entry.
+	// Index is the index of the command's log entry. For an outdated one that was not
+	// proposed it is the index of the state that found it outdated.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
 	// Outdated is whether the patch or drain was outdated, see [Command.AsOf].
 	Outdated bool `cbor:"4,keyasint,omitempty"`
