keelentry, keelworld: the end of a drain is seen without requests in between

Cause: the pools followed the view only when a request came, and the end of a drain was found by comparing the drained domains of two views. A drain that begins and ends between two requests, or in one answer of a voter, or before the first view, was not seen.

Change: a view has the index of the last order that ended a drain, by domain. The state has held it before, so that no format changes. A higher index than in the view before means a drain in between. In an instance's first view all count: endpoints of domains that were drained at some time are paced for their cold time after its start. The pools follow each view when it arrives.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -227,16 +229,32 @@
 	return p
 }
 
+// Follow updates the pools to a newer view that was received now, so that the times in
+// announcements count from then, also while no request comes.
+func (rn *Runner) Follow(now time.Time, view *keelworld.View) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if rn.view == nil || view.Index > rn.view.Index {
+		rn.updateView(now, view)
+	}
+}
+
 // updateView updates all pools to a newer view. The caller holds mu.
 func (rn *Runner) updateView(now time.Time, view *keelworld.View) {
-	undrained := map[keel.DomainName]bool{}
+	// The first view may hold the end of a drain that is just over, so that all count.
+	known := map[keel.DomainName]uint64{}
 	if rn.view != nil {
-		for d := range rn.view.Drained {
-			if !view.Drained[d] {
-				undrained[d] = true
-			}
+		known = rn.view.DrainEndedAt
+	}
+	undrained := map[keel.DomainName]bool{}
+	for d, index := range view.DrainEndedAt {
+		if index > known[d] {
+			undrained[d] = true
 		}
 	}
+	if len(undrained) > 0 {
+		rn.cfg.Log.WithFields(logrus.Fields{"domains": slices.Sorted(maps.Keys(undrained)), "index": view.Index}).Info("drains have ended, endpoints count as cold")
+	}
 	rn.view = view
 	for service := range view.Endpoints {
 		if rn.pools[service] == nil {
--- a/keelrole/entry.go
+++ b/keelrole/entry.go
@@ -99,6 +99,7 @@
 			Domain: s.Domain, Region: s.Region, Caller: s.Listen.Caller, Up: true,
 		},
 		Network: calls, PeerPort: s.PeerPort, Seeds: s.SeedAddrs(), Log: cfg.Log,
+		OnChange:   func(_, now *keelworld.View) { in.runner.Follow(time.Now(), now) },
 		Observed:   func(v *keelworld.View) ([]uint64, []keelworld.Crash) { return in.runner.Observed(v) },
 		RateLimits: func(v *keelworld.View) []keelworld.RateLimit { return in.runner.RateLimits(v) },
 	})
--- a/keelworld/view.go
+++ b/keelworld/view.go
@@ -22,6 +22,10 @@
 	Endpoints map[keel.ServiceName][]Endpoint
 	// Drained holds the drained failure domains.
 	Drained map[keel.DomainName]bool
+	// DrainEndedAt is the index of the last order to end the drain of a failure domain, for
+	// each that was drained before and is not now. A drain that began and ended between two
+	// views shows by a higher index.
+	DrainEndedAt map[keel.DomainName]uint64
 	// Nodes holds the entry instances that take callers, ordered by name.
 	Nodes []Node
 	// Suspects holds the requests that crash endpoints.
@@ -40,13 +44,19 @@
 // View returns a view of the current state.
 func (s *State) View() *View {
 	v := &View{
-		Index:      s.index,
-		Services:   map[keel.ServiceName]*Service{},
-		Endpoints:  map[keel.ServiceName][]Endpoint{},
-		Drained:    maps.Clone(s.drains),
-		Suspects:   s.suspects,
-		RateLimits: s.rateLimits,
-		routes:     map[string][]namedRoute{},
+		Index:        s.index,
+		Services:     map[keel.ServiceName]*Service{},
+		Endpoints:    map[keel.ServiceName][]Endpoint{},
+		Drained:      maps.Clone(s.drains),
+		DrainEndedAt: map[keel.DomainName]uint64{},
+		Suspects:     s.suspects,
+		RateLimits:   s.rateLimits,
+		routes:       map[string][]namedRoute{},
+	}
+	for d, index := range s.drainOrderedAt {
+		if !s.drains[d] {
+			v.DrainEndedAt[d] = index
+		}
 	}
 	for k, it := range s.items {
 		v.Configured = true
