keelplace, keelsync, keelentry: endpoints are paced while the view may lack a drain

Callers saw: requests failed at endpoints that fell over, as they had become cold and got a burst (FAILBACK).

Cause: an entry instance that is cut off from the voters goes on at its full rate. It gets to know neither that its failure domain is drained, nor that the drain has ended and the endpoints are cold.

Change: while its view may lack an accepted order for more than a second, an instance sends an endpoint only its share of what a cold one tolerates in a second. The shares add up over all instances near the endpoint, so that it does not matter how many are cut off. The view lacks no order while a majority of the voters answers that it has no leader, without a gap since the view was current; so nothing is paced while the voters are split in halves. A new instance has no such view until a leader confirms one. The answers of voters have one new field (8, no_leader), which builds before ignore; without it, endpoints are paced.

--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -25,6 +25,9 @@
 	View func() *keelworld.View
 	// Age returns the time since the view was last confirmed to be current.
 	Age func(now time.Time) time.Duration
+	// OrderAge returns the time for which the view may lack an accepted order, such as the
+	// drain of a failure domain.
+	OrderAge func(now time.Time) time.Duration
 	// Silence returns the time since a voter that has a leader last answered.
 	Silence func(now time.Time) time.Duration
 	// Client sends requests to endpoints.
@@ -218,6 +221,7 @@
 	if p == nil {
 		p = rn.newPool(now, service)
 	}
+	p.SetConfirmed(rn.cfg.OrderAge(now) <= unconfirmedAge)
 	f(p)
 }
 
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -64,8 +64,8 @@
 )
 
 const (
-	// unconfirmedAge is the age from which a view may lack a route that is in force.
-	// It is more than two polls of the voters take.
+	// unconfirmedAge is the age from which a view may lack a route that is in force, or a
+	// drain. It is more than two polls of the voters take.
 	unconfirmedAge = time.Second
 	// unconfirmedRetryAfter is the retry delay while a route may be missing.
 	unconfirmedRetryAfter = 500 * time.Millisecond
--- a/keelplace/bounds_test.go
+++ b/keelplace/bounds_test.go
@@ -160,3 +160,58 @@
 		})
 	}
 }
+
+// Instances that are cut off from the voters get to know neither a drain nor that an endpoint is
+// cold after it. All of them together must not send it more than a cold one tolerates, whatever
+// number is cut off, and neither beside the others, which know that it is cold.
+func TestColdRateOfUnconfirmedInstances(t *testing.T) {
+	const rate, overshoot, slack = 4.9, 1.5, 5
+	tests := []struct {
+		name         string
+		cutOff, know int // instances
+	}{
+		{"all", 18, 0},
+		{"those of a failure domain", 3, 0},
+		{"one beside the others", 1, 17},
+		{"none", 0, 18},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			start := now
+			var pools []*keelplace.Pool
+			for i := range tt.cutOff + tt.know {
+				number := i
+				if tt.cutOff == 3 {
+					number = 6 * i // the domain of the endpoint
+				}
+				v := boundsView(0, 18)
+				cutOff := i < tt.cutOff
+				if cutOff {
+					v.Endpoints["s"][0].Cold = 0
+				}
+				p := keelplace.NewPool(keelplace.Config{
+					Self: boundsName(number), Location: keelplace.Location{Domain: keel.DomainName(fmt.Sprintf("d%d", number%6)), Region: "r"}, Region: regionR,
+				}, "s")
+				p.Update(now, v, nil)
+				p.SetConfirmed(!cutOff)
+				pools = append(pools, p)
+			}
+			var sent []time.Time
+			r := &keelplace.Request{Route: "x", Spec: &keelworld.Route{}, TimeLeft: time.Second, TargetLeft: time.Second}
+			for step := range 800 {
+				now = start.Add(time.Duration(step) * 10 * time.Millisecond)
+				for _, p := range pools {
+					if c, refused := p.Choose(now, r); refused == nil {
+						p.Started(now, c)
+						p.Ended(now, now, "x", c, keelplace.Outcome{Kind: keelplace.Answered, Took: time.Millisecond})
+						sent = append(sent, now)
+					}
+				}
+			}
+			is.True(float64(maxInWindow(sent, time.Second)) <= rate*overshoot+slack)
+			is.True(len(sent) >= 20)
+		})
+	}
+}
--- a/keelplace/choose.go
+++ b/keelplace/choose.go
@@ -157,7 +157,7 @@
 		endpoints[i] = o.e
 	}
 	if left := p.blockedLeft(now, endpoints); left > 0 {
-		r.RetryAfter, r.Detail = left+p.spreadRetry(minRetryAfter), "its endpoints turn requests away for a time, or limit their rate"
+		r.RetryAfter, r.Detail = left+p.spreadRetry(minRetryAfter), "its endpoints turn requests away for a time, limit their rate, or may be cold"
 	}
 	return r
 }
@@ -304,13 +304,13 @@
 }
 
 // available reports whether an endpoint may get a request now: it is not ejected and has
-// not paused, a suspected one has no other request in flight, a cold one and one with a limit
-// are within their rates, and it has not stalled.
+// not paused, a suspected one has no other request in flight, a cold one, one with a limit, and
+// each one while the view is unconfirmed are within their rates, and it has not stalled.
 func (p *Pool) available(now time.Time, r *Request, e *endpoint) bool {
 	if now.Before(e.ejectedUntil) || now.Before(e.pausedUntil) || e.suspected && e.inFlight > 0 {
 		return false
 	}
-	if p.limitWait(now, e) > 0 {
+	if p.limitWait(now, e) > 0 || p.unconfirmedWait(now, e) > 0 {
 		return false
 	}
 	if e.isCold(now) && !(e.pace.allow(now) && p.isColdSender(e)) {
--- a/keelplace/notice.go
+++ b/keelplace/notice.go
@@ -57,7 +57,7 @@
 func (p *Pool) blockedLeft(now time.Time, endpoints []*endpoint) time.Duration {
 	var left time.Duration
 	for _, e := range endpoints {
-		d := max(e.pausedUntil.Sub(now), p.limitWait(now, e))
+		d := max(e.pausedUntil.Sub(now), p.limitWait(now, e), p.unconfirmedWait(now, e))
 		if d <= 0 {
 			return 0
 		}
--- a/keelplace/outcome.go
+++ b/keelplace/outcome.go
@@ -62,6 +62,7 @@
 	p.inFlight++
 	e.started = append(e.started, now)
 	e.rateLimit.limiter.Take(now)
+	e.noteSent(now)
 	if e.isCold(now) {
 		e.pace.sent(now, p.spec.ColdRate/maxColdSenders)
 	}
--- a/keelplace/pace.go
+++ b/keelplace/pace.go
@@ -1,12 +1,9 @@
 package keelplace
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/greengagekeel/greengagekeel/keelworld"
-	"github.com/zeebo/xxh3"
 )
 
 // maxColdSenders is how many entry instances may send to a cold endpoint. Each of
@@ -39,19 +36,7 @@
 // isSender reports whether this instance is one of n that send to an endpoint. They are
 // chosen by failure domain, then region, then hash.
 func (p *Pool) isSender(e *endpoint, n int) bool {
-	type sender struct {
-		distance int
-		hash     uint64
-		self     bool
-	}
-	senders := make([]sender, 0, len(p.nodes))
-	for i := range p.nodes {
-		n := &p.nodes[i]
-		senders = append(senders, sender{distanceRank(n, e), xxh3.HashString(string(n.Name) + "\x00" + e.ID), n.Name == p.cfg.Self})
-	}
-	slices.SortFunc(senders, func(a, b sender) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
-	})
+	senders := p.sendersByDistance(e)
 	for i := range min(n, len(senders)) {
 		if senders[i].self {
 			return true
--- a/keelplace/pool.go
+++ b/keelplace/pool.go
@@ -39,12 +39,14 @@
 	nodes []keelworld.Node
 	// nodesVersion counts the changes of nodes.
 	nodesVersion int
-	budget       budget
-	spec         keelworld.Service
-	regionShare  regionShare
-	limit        concurrencyLimit
-	inFlight     int
-	refusals     int
+	// unconfirmed is whether the view was not confirmed recently to be current.
+	unconfirmed bool
+	budget      budget
+	spec        keelworld.Service
+	regionShare regionShare
+	limit       concurrencyLimit
+	inFlight    int
+	refusals    int
 	// shedRate is the moving average of requests that endpoints with free slots shed, from
 	// 0 to 1.
 	shedRate float64
@@ -93,6 +95,10 @@
 	pausedUntil, leavingSince time.Time
 	pace                      coldPace
 	rateLimit                 rateLimit
+	unconfirmed               unconfirmedShare
+	// sentAt holds when requests were sent within the last [unconfirmedWindow] or so, the
+	// oldest first.
+	sentAt []time.Time
 	// cached holds the objects for which the endpoint answered a request of this
 	// instance, timedOut those for which a request has timed out there since.
 	cached, timedOut objectSet
@@ -153,7 +159,7 @@
 		p.spec = *s
 	}
 	nodes := Reaching(v.Nodes)
-	if !slices.Equal(p.nodes, nodes) {
+	if !slices.Equal(p.nodes, nodes) || p.nodesVersion == 0 {
 		p.nodesVersion++
 	}
 	p.nodes = nodes
--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -42,7 +42,8 @@
 			return nil, err
 		}
 		a.Held = time.Since(start)
-		a.Stale = !ok || v.node.Status().Leader == ""
+		a.NoLeader = v.node.Status().Leader == ""
+		a.Stale = !ok || a.NoLeader
 		if expired || a.Stale || !a.empty() {
 			a.Voters = v.voters()
 			return &a, nil
--- a/keelsync/follower.go
+++ b/keelsync/follower.go
@@ -91,7 +91,10 @@
 	// answeredAt is when a voter that has a leader last answered, in nanoseconds since
 	// start.
 	answeredAt atomic.Int64
-	start      time.Time
+	// leaderlessAt is when enough voters without a leader were last found, in nanoseconds
+	// since start.
+	leaderlessAt atomic.Int64
+	start        time.Time
 
 	// firstSeed determines the seed that is polled first.
 	firstSeed uint64
@@ -106,6 +109,8 @@
 	// of self.
 	cancelPoll context.CancelFunc
 
+	// noLeaderAt is when a voter last answered that it has no leader. Only Run uses it.
+	noLeaderAt map[keel.InstanceName]time.Time
 	// contact is the contact with the voters as logged last, and download the blob
 	// that is being received. Only Run uses them and the following fields.
 	contact  contactLog
@@ -126,12 +131,14 @@
 func NewFollower(cfg FollowerConfig) *Follower {
 	f := &Follower{
 		cfg: cfg, self: cfg.Self, seeds: cfg.Seeds, failedAt: map[keel.InstanceName]time.Time{},
-		state: keelworld.NewState(), start: time.Now(), firstSeed: xxh3.HashString(string(cfg.Self.Name)),
+		noLeaderAt: map[keel.InstanceName]time.Time{},
+		state:      keelworld.NewState(), start: time.Now(), firstSeed: xxh3.HashString(string(cfg.Self.Name)),
 		download: download{partBytes: firstPartBytes, partLimit: maxPartBytes}, polled: make(chan *pendingPoll),
 	}
 	f.view.Store(f.state.View())
 	f.freshAt.Store(-int64(time.Hour))
 	f.answeredAt.Store(-int64(time.Hour))
+	f.leaderlessAt.Store(-int64(time.Hour))
 	return f
 }
 
@@ -204,8 +211,10 @@
 	if len(a.Voters) > 0 {
 		f.voters = a.Voters
 	}
+	voters := f.voters
 	delete(f.failedAt, name)
 	f.mu.Unlock()
+	f.noteLeader(p.sentAt, name, a.NoLeader, voters)
 	if a.Stale {
 		f.markFailed(name)
 		return errors.Errorf("voter %s has no leader or lags behind", name)
--- a/keelsync/message.go
+++ b/keelsync/message.go
@@ -94,6 +94,8 @@
 	// Held is the time from the arrival of the request to when the voter found that
 	// the answer is current.
 	Held time.Duration `cbor:"7,keyasint,omitempty"`
+	// NoLeader means that the voter has no leader. Builds before this field leave it out.
+	NoLeader bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Check reports the faults of the part and a negative time. Entries are checked when
