keelentry: each attempt of a request is decided by the current view

Callers saw: 502 during a planned replacement of endpoints, though new ones were ready.

Cause: a request kept the view with which it began, for its further attempts, after a body that arrived slowly, and for relays. The pools were newer only if another request had come.

Change: a request takes the current view once its body has arrived, and before each attempt and each relay. If its route has changed, the new one counts for what follows; if it is gone, the request is not sent again. The time left is counted from the choice, not from before the body.

--- a/keelentry/relay.go
+++ b/keelentry/relay.go
@@ -38,6 +38,12 @@
 		if ctx.Err() != nil || !t.streamed && t.request.CallerLeft() {
 			break
 		}
+		if gone := t.refresh(); gone != nil {
+			return nil, gone, true
+		}
+		if !t.mayRelayTo(peer) {
+			continue // it has left, or the route has other homes now
+		}
 		t.attempted = append(t.attempted, peer.String())
 		a, refusal, taken = t.relayTo(ctx, peer)
 		t.outcomes = append(t.outcomes, relayOutcome(taken))
@@ -60,16 +66,25 @@
 // than that of this instance.
 func (t *task) relayPeers() []netip.AddrPort {
 	cfg := &t.runner.cfg.Pool
-	nodes := slices.DeleteFunc(slices.Clone(t.view.Nodes), func(n keelworld.Node) bool {
-		homes := t.spec.HomeRegions
-		return n.Name == cfg.Self || n.Isolated ||
-			len(homes) > 0 && !slices.Contains(homes, n.Region)
-	})
-	peers := keelplace.Nearest(nodes, cfg.Location.Domain, cfg.Location.Region, rand.Int())
+	peers := keelplace.Nearest(t.relayNodes(), cfg.Location.Domain, cfg.Location.Region, rand.Int())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(len(peers), maxRelays)]
 }
 
+// relayNodes returns the instances to which the request may be relayed by the current view.
+func (t *task) relayNodes() []keelworld.Node {
+	homes := t.spec.HomeRegions
+	return slices.DeleteFunc(slices.Clone(t.view.Nodes), func(n keelworld.Node) bool {
+		return n.Name == t.runner.cfg.Pool.Self || n.Isolated ||
+			len(homes) > 0 && !slices.Contains(homes, n.Region)
+	})
+}
+
+// mayRelayTo reports whether the request may be relayed to an instance by the current view.
+func (t *task) mayRelayTo(peer netip.AddrPort) bool {
+	return slices.ContainsFunc(t.relayNodes(), func(n keelworld.Node) bool { return n.Caller == peer })
+}
+
 // relayTo sends the request to one instance. taken is false if that did not send it to an
 // endpoint for a reason that another instance may not have.
 func (t *task) relayTo(ctx context.Context, peer netip.AddrPort) (a *keelproxy.Answer, refusal *keel.Refusal, taken bool) {
--- a/keelentry/runner.go
+++ b/keelentry/runner.go
@@ -157,7 +157,7 @@
 	if err := t.bufferBody(ctx); err != nil {
 		return nil, t.logRefused(err)
 	}
-	a, refusal := t.dispatch(ctx, now)
+	a, refusal := t.dispatch(ctx)
 	if !t.relayed {
 		t.recordCrashes(a != nil)
 	}
--- a/keelentry/task.go
+++ b/keelentry/task.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -110,9 +111,36 @@
 	return nil
 }
 
+// refresh makes the task decide by the current view. What was waited for may have taken seconds:
+// the body, or the answer to an earlier attempt. It returns a refusal if the view has no route
+// for the request any more.
+func (t *task) refresh() *keel.Refusal {
+	view := t.runner.cfg.View()
+	if view.Index <= t.view.Index {
+		return nil
+	}
+	t.view = view
+	route, spec := view.Route(t.request.Host, t.request.Path())
+	switch {
+	case spec == nil:
+		return t.refuseUnmatched()
+	case spec == t.spec:
+		return nil
+	}
+	t.route, t.spec = route, spec
+	if !slices.ContainsFunc(spec.Shares, func(s keelworld.Share) bool { return s.Service == t.request.Service && s.Weight > 0 }) {
+		t.request.Service = pickService(spec)
+	}
+	return nil
+}
+
 // dispatch sends the request to endpoints, or relays it to another instance if this one reaches
 // none.
-func (t *task) dispatch(ctx context.Context, now time.Time) (*keelproxy.Answer, *keel.Refusal) {
+func (t *task) dispatch(ctx context.Context) (*keelproxy.Answer, *keel.Refusal) {
+	now := time.Now()
+	if gone := t.refresh(); gone != nil {
+		return nil, gone
+	}
 	t.withPool(now, func(p *keelplace.Pool) { p.Arrived(now, t.runner.cfg.RetryBudget, t.route) })
 	if t.runner.contact.isolated() {
 		if t.request.Relayed {
@@ -140,6 +168,13 @@
 			gone := keel.Refuse(keel.NotRun, keel.ReasonCallerGone, 0, "the caller left before the request was sent to an endpoint")
 			return nil, gone.AfterAttempt(last)
 		}
+		gone := t.refresh()
+		switch {
+		case last != nil && (gone != nil || !t.mayRetry(last)):
+			return nil, t.setRetryAfter(now, last)
+		case gone != nil:
+			return nil, gone
+		}
 		if blocked := t.refuseSuspect(); blocked != nil {
 			return nil, blocked.AfterAttempt(last)
 		}
@@ -153,12 +188,18 @@
 		}
 		last = refusal.AfterAttempt(last)
 		now = time.Now()
-		if !retry || ctx.Err() != nil || t.streamed || len(t.attempted) >= t.spec.Attempts {
+		if !retry || ctx.Err() != nil || t.streamed || !t.mayRetry(last) {
 			return nil, t.setRetryAfter(now, last)
 		}
 	}
 }
 
+// mayRetry reports whether the route allows another attempt after a refusal. The route may have
+// changed since the attempt.
+func (t *task) mayRetry(last *keel.Refusal) bool {
+	return len(t.attempted) < t.spec.Attempts && (last.Verdict == keel.NotRun || t.spec.Idempotent)
+}
+
 // refuseSuspect returns the refusal of a request that crashes the endpoints which run it,
 // and nil for any other one.
 func (t *task) refuseSuspect() *keel.Refusal {
