keelsync: a late poll does not list an instance that has left

What callers would see: a look-up names an entry instance that has left, and connections to it fail, for about 1.5 s.

Cause: a voter that stood still, or that gets a poll late, took its content for newer than the record of the instance. Incarnations are times of a clock that may be set back, so that they don't tell.

Change: a poll that contradicts the record of its sender is recorded only if the sender had applied that record, by the index in the poll. A sender that is there repeats it with its next poll, so that an instance which restarts is listed one poll later. No message has changed.

--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -17,7 +17,7 @@
 		return keel.Envelope{}, err
 	}
 	r.PartBytes = min(r.PartBytes, maxPartBytes)
-	v.recordNode(r.Node)
+	v.recordNode(r.Node, r.After)
 	v.recordCrashes(r.Answered, r.Crashes)
 	v.recordRateLimits(r.RateLimits)
 	a, err := v.feed(ctx, &r)
@@ -75,15 +75,20 @@
 	return all
 }
 
-// recordNode records contact with an instance. If the instance is new or has
-// changed, it is added to the next batch.
-func (v *Voter) recordNode(n keelworld.Node) {
+// recordNode records contact with an instance that has applied the entries up to after. If the
+// instance is new or has changed, it is added to the next batch.
+//
+// A poll may be late: this voter stood still, or the poll was held back. An instance that left or
+// restarted meanwhile must not be listed again by it. Such a poll was sent before the instance
+// could apply its newer record; one that is not late repeats its content with the next poll.
+func (v *Voter) recordNode(n keelworld.Node, after uint64) {
+	current, index, ok := v.machine.node(n.Name)
+	if n.Up && ok && current != n && after < index {
+		return
+	}
 	if n.Up {
 		v.seen.addNode(n.Name)
 	}
-	var current keelworld.Node
-	var ok bool
-	v.machine.withState(func(s *keelworld.State) { current, ok = s.Node(n.Name) })
 	if (n.Up || n.Voter) && (!ok || current != n) || !n.Up && ok && current.Up && current.Incarnation == n.Incarnation {
 		v.batcher.addNode(n)
 	}
--- a/keelsync/machine.go
+++ b/keelsync/machine.go
@@ -41,6 +41,9 @@
 	endpointAppliedAt map[string]time.Time
 	// nodeAppliedAt is when the current record of an instance was applied.
 	nodeAppliedAt map[keel.InstanceName]time.Time
+	// nodeAppliedIndex is the index of the current record of an instance, if it was applied
+	// since the start.
+	nodeAppliedIndex map[keel.InstanceName]uint64
 	// changed is closed and replaced when an entry or a snapshot is applied.
 	changed chan struct{}
 }
@@ -48,7 +51,8 @@
 func newStateMachine(log *logrus.Entry) *stateMachine {
 	return &stateMachine{
 		log: log, state: keelworld.NewState(), results: map[string]*keelworld.Result{},
-		endpointAppliedAt: map[string]time.Time{}, nodeAppliedAt: map[keel.InstanceName]time.Time{}, changed: make(chan struct{}),
+		endpointAppliedAt: map[string]time.Time{}, nodeAppliedAt: map[keel.InstanceName]time.Time{},
+		nodeAppliedIndex: map[keel.InstanceName]uint64{}, changed: make(chan struct{}),
 	}
 }
 
@@ -73,6 +77,7 @@
 		}
 		for i := range c.Nodes {
 			m.nodeAppliedAt[c.Nodes[i].Name] = now
+			m.nodeAppliedIndex[c.Nodes[i].Name] = index
 		}
 		m.logApplied(index, &c, &r)
 	}
@@ -247,6 +252,15 @@
 	return m.state.Index(), m.state.IsOutdated(c)
 }
 
+// node returns the record of an instance and its index, which is 0 if it was not applied since
+// the start.
+func (m *stateMachine) node(name keel.InstanceName) (n keelworld.Node, index uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, ok = m.state.Node(name)
+	return n, m.nodeAppliedIndex[name], ok
+}
+
 // withState calls f with the state while mu is held. f must not retain the state.
 func (m *stateMachine) withState(f func(s *keelworld.State)) {
 	m.mu.Lock()
--- a/keelsync/reconcile.go
+++ b/keelsync/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -41,7 +42,7 @@
 	// it, so it requests to join once it has had no leader for some time.
 	m.Join = !voting || now.Sub(v.leaderSeenAt) > voterSilenceTimeout
 	if member {
-		v.recordNode(v.cfg.Self)
+		v.recordNode(v.cfg.Self, math.MaxUint64)
 	}
 	if st.Role == string(keelquorum.RoleLeader) {
 		v.detectSilent(ctx, now, &st, m)
