keelsync: a restart of all voters does not make views lack orders

Callers saw: after a loss of power of all voters for 1.3 s, endpoints were paced until the next leader confirmed the views.

Cause: voters are down for longer than the 2 s after which an instance took its view for lacking orders, although no order was accepted meanwhile.

Change: the gap between two findings that the view lacks no order may be 3 s, less than a drain that starts and ends. The age from which an answer of a voter no longer counts stays at 2 s.

--- a/keelsync/leaderless.go
+++ b/keelsync/leaderless.go
@@ -7,10 +7,15 @@
 	"github.com/greengagekeel/greengagekeel/keelworld"
 )
 
-// leaderlessWindow is how long it counts that a voter had no leader. It is about the time in
-// which a follower polls six voters without a leader, and less than an operator takes to
-// start and end a drain.
-const leaderlessWindow = 2 * time.Second
+const (
+	// leaderlessWindow is how long it counts that a voter had no leader. It is about the
+	// time in which a follower polls six voters without a leader.
+	leaderlessWindow = 2 * time.Second
+	// maxOrderGap is the longest time between two findings that the view lacks no order.
+	// It is less than an operator takes to start and end a drain, and allows for a restart
+	// of all voters.
+	maxOrderGap = 3 * time.Second
+)
 
 // noteLeader records whether a voter had a leader when it answered a poll that was sent at a
 // time. If a majority of the voters have none, no order can be accepted: those that are not
@@ -27,8 +32,8 @@
 			n++
 		}
 	}
-	// Without a gap since the view was current it still holds every order.
-	if n > len(voters)/2 && f.OrderAge(sentAt) <= leaderlessWindow {
+	// Without a longer gap since the view was current it still holds every order.
+	if n > len(voters)/2 && f.OrderAge(sentAt) <= maxOrderGap {
 		f.leaderlessAt.Store(int64(sentAt.Sub(f.start)))
 	}
 }
