keelplace: the share of an endpoint that may be cold follows its cold rate

Cause: an instance kept its share until an instance came or went, also if the cold rate of the service had changed.

Change: the share is determined anew when the cold rate changes.

Test: TestShareFollowsColdRate fails on the commit before.

--- a/keelplace/bounds_test.go
+++ b/keelplace/bounds_test.go
@@ -215,3 +215,34 @@
 		})
 	}
 }
+
+// The cold rate of a service is changed while the view is unconfirmed. The share of the rate
+// before would be too much, or too little, until an instance comes or goes.
+func TestShareFollowsColdRate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := boundsPools(now)[0]
+	p.SetConfirmed(false)
+	r := &keelplace.Request{Route: "x", Spec: &keelworld.Route{}, TimeLeft: time.Second, TargetLeft: time.Second}
+	sequence := int64(1)
+	perSecond := func(rate float64) (n int) {
+		v := boundsView(0, 18)
+		sequence++
+		v.Endpoints["s"][0].Cold, v.Endpoints["s"][0].Sequence = 0, sequence
+		now = now.Add(time.Minute)
+		v.Services["s"] = &keelworld.Service{ColdRate: rate, ColdTime: 3 * time.Second}
+		p.Update(now, v, nil)
+		for {
+			c, refused := p.Choose(now, r)
+			if refused != nil {
+				return n
+			}
+			p.Started(now, c)
+			p.Ended(now, now, "x", c, keelplace.Outcome{Kind: keelplace.Answered, Took: time.Millisecond})
+			n++
+		}
+	}
+	low := perSecond(4.9)
+	is.True(perSecond(100) > low)
+	is.Equal(perSecond(4.9), low)
+}
--- a/keelplace/pace.go
+++ b/keelplace/pace.go
@@ -1,9 +1,12 @@
 package keelplace
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/greengagekeel/greengagekeel/keelworld"
+	"github.com/zeebo/xxh3"
 )
 
 // maxColdSenders is how many entry instances may send to a cold endpoint. Each of
@@ -45,6 +48,30 @@
 	return false
 }
 
+// sender is an instance that may send to an endpoint.
+type sender struct {
+	distance int
+	hash     uint64
+	self     bool
+}
+
+// sendersByDistance returns the instances ordered by failure domain, then region, then hash.
+func (p *Pool) sendersByDistance(e *endpoint) []sender {
+	senders := make([]sender, 0, len(p.nodes))
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		senders = append(senders, sender{distanceRank(n, e), senderHash(n, e), n.Name == p.cfg.Self})
+	}
+	slices.SortFunc(senders, func(a, b sender) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
+	})
+	return senders
+}
+
+func senderHash(n *keelworld.Node, e *endpoint) uint64 {
+	return xxh3.HashString(string(n.Name) + "\x00" + e.ID)
+}
+
 // distanceRank returns 0 for an instance in the failure domain of an endpoint, 1 for
 // one in its region, and 2 otherwise.
 func distanceRank(n *keelworld.Node, e *endpoint) int {
--- a/keelplace/unconfirmed.go
+++ b/keelplace/unconfirmed.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/greengagekeel/greengagekeel/keelworld"
-	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -27,8 +24,9 @@
 type unconfirmedShare struct {
 	requests int
 	// nodes is the number of the set of instances by which the share was determined; 0 if it
-	// was not.
-	nodes int
+	// was not. coldRate is the endpoint's cold rate then.
+	nodes    int
+	coldRate float64
 }
 
 // SetConfirmed tells the pool whether its view was confirmed recently to be current.
@@ -49,8 +47,8 @@
 	if !p.unconfirmed || p.spec.ColdRate <= 0 {
 		return 0
 	}
-	if e.unconfirmed.nodes != p.nodesVersion {
-		e.unconfirmed = unconfirmedShare{p.shareOfUnconfirmed(e), p.nodesVersion}
+	if e.unconfirmed.nodes != p.nodesVersion || e.unconfirmed.coldRate != p.spec.ColdRate {
+		e.unconfirmed = unconfirmedShare{p.shareOfUnconfirmed(e), p.nodesVersion, p.spec.ColdRate}
 	}
 	n := e.unconfirmed.requests
 	switch {
@@ -95,27 +93,3 @@
 	n, _ := slices.BinarySearchFunc(senders, distance, func(s sender, d int) int { return cmp.Compare(s.distance, d) })
 	return n
 }
-
-// sender is an instance that may send to an endpoint.
-type sender struct {
-	distance int
-	hash     uint64
-	self     bool
-}
-
-// sendersByDistance returns the instances ordered by failure domain, then region, then hash.
-func (p *Pool) sendersByDistance(e *endpoint) []sender {
-	senders := make([]sender, 0, len(p.nodes))
-	for i := range p.nodes {
-		n := &p.nodes[i]
-		senders = append(senders, sender{distanceRank(n, e), senderHash(n, e), n.Name == p.cfg.Self})
-	}
-	slices.SortFunc(senders, func(a, b sender) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
-	})
-	return senders
-}
-
-func senderHash(n *keelworld.Node, e *endpoint) uint64 {
-	return xxh3.HashString(string(n.Name) + "\x00" + e.ID)
-}
