keelsync: a late poll still counts as contact

Cause: since a poll whose content is not recorded did not count as contact either. An instance that restarts polls without the content until it has the state, which takes seconds on a narrow link, and counts as silent meanwhile, so that look-ups leave it out.

Change: each poll counts as contact, as before. Contact does not list an instance that has left.

Test: TestLatePoll passes.

--- a/keelsync/feed.go
+++ b/keelsync/feed.go
@@ -82,13 +82,13 @@
 // restarted meanwhile must not be listed again by it. Such a poll was sent before the instance
 // could apply its newer record; one that is not late repeats its content with the next poll.
 func (v *Voter) recordNode(n keelworld.Node, after uint64) {
+	if n.Up {
+		v.seen.addNode(n.Name)
+	}
 	current, index, ok := v.machine.node(n.Name)
 	if n.Up && ok && current != n && after < index {
 		return
 	}
-	if n.Up {
-		v.seen.addNode(n.Name)
-	}
 	if (n.Up || n.Voter) && (!ok || current != n) || !n.Up && ok && current.Up && current.Incarnation == n.Incarnation {
 		v.batcher.addNode(n)
 	}
